--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import settings as hypothesis_settings
 
-from hillmast import (
+from weldhatch import (
     Effect,
     ListForm,
     Machine,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import SECOND, Driver, machines, make_class, make_settings, of
 
-from hillmast import (
+from weldhatch import (
     AttemptEnded,
     Cancel,
     Effect,
@@ -37,7 +37,7 @@
 
 
 def test_the_module_keeps_its_size():
-    lines = (Path(__file__).parent.parent / "hillmast" / "policy.py").read_text().splitlines()
+    lines = (Path(__file__).parent.parent / "weldhatch" / "policy.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 400
     assert max(map(len, lines)) <= 110
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hillmast import (
+from weldhatch import (
     Effect,
     ListForm,
     Machine,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from hillmast import benchlink, wire
-from hillmast import interface as i
+from weldhatch import benchlink, wire
+from weldhatch import interface as i
 
 SETTINGS = b"""classes.count=1
 classes.0.aimUs=600000
--- a/hillmast/benchlink.py
+++ b/weldhatch/benchlink.py
@@ -10,8 +10,8 @@
 import traceback
 from typing import BinaryIO
 
-from hillmast.policy import Policy
-from hillmast.wire import BATCH_HEADER, Decoder, Retire, Spawn, WireError, encode_fault, encode_reply
+from weldhatch.policy import Policy
+from weldhatch.wire import BATCH_HEADER, Decoder, Retire, Spawn, WireError, encode_fault, encode_reply
 
 
 class Host:
@@ -58,17 +58,17 @@
         if not header:
             return 0
         if len(header) < BATCH_HEADER.size:
-            print("hillmast: the input ended inside a batch header", file=sys.stderr)
+            print("weldhatch: the input ended inside a batch header", file=sys.stderr)
             return 1
         now, length, count = BATCH_HEADER.unpack(header)
         body = _read(source, length)
         if len(body) < length:
-            print(f"hillmast: the input ended inside a batch of {length} bytes", file=sys.stderr)
+            print(f"weldhatch: the input ended inside a batch of {length} bytes", file=sys.stderr)
             return 1
         try:
             frame, status = host.reply(now, body, count), 0
         except WireError as error:
-            print(f"hillmast: malformed batch: {error}", file=sys.stderr)
+            print(f"weldhatch: malformed batch: {error}", file=sys.stderr)
             frame, status = encode_fault(f"malformed batch: {error}"), 1
         except Exception as error:
             traceback.print_exc()
--- a/hillmast/interface.py
+++ b/weldhatch/interface.py
@@ -1,4 +1,4 @@
-"""The interface of hillmast: settings, events and actions. Types only, no decisions.
+"""The interface of weldhatch: settings, events and actions. Types only, no decisions.
 
 Times are integer microseconds on the host program's clock. Machines, requests and services are
 opaque integers: the policy hands them back unchanged and reads nothing into them.
--- a/hillmast/policy.py
+++ b/weldhatch/policy.py
@@ -1,4 +1,4 @@
-"""The decisions of hillmast. Types, events, actions: `hillmast/interface.py`; records: `hillmast/state.py`.
+"""The decisions of weldhatch. Types, events, actions: `weldhatch/interface.py`; records: `weldhatch/state.py`.
 
 Every request takes one path (Xie, Dong, Lu, Srikant, SIGMETRICS 2015): filter the eligible machines, draw a
 few uniformly, probe each, bind to the one with the most free memory, ties split at random. The exceptions
@@ -10,12 +10,12 @@
 import random
 from itertools import islice
 
-from hillmast.interface import (
+from weldhatch.interface import (
     Action, AttemptEnded, Cancel, Effect, Event, Fail, ListForm, Log, Machine, MachinesChanged, MachineState,
     Note, Offer, Outcome, Placed, Probe, ProbeAnswered, Reason, Refuse, RequestArrived, RequestGone, Scope,
     SetTimer, Settings, Subscribe, TaskAdopted, TimerFired, Topic,
 )
-from hillmast.state import Holdings, Node, Request, shuffled
+from weldhatch.state import Holdings, Node, Request, shuffled
 
 DRAWN = 2  # machines drawn for a request: the paper's d
 PATIENCE = 0.1  # the part of the aim that probes are waited for; then the ledger decides
--- a/hillmast/wire.py
+++ b/weldhatch/wire.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-from hillmast import interface as i
+from weldhatch import interface as i
 
 BATCH_HEADER = struct.Struct(">QII")
 REPLY_HEADER = struct.Struct(">II")
@@ -183,7 +183,7 @@
 
 
 _READERS: dict[int, Callable[[bytes, int], object]] = {
-    10: lambda body, at: None,  # a peer's message: hillmast shares nothing
+    10: lambda body, at: None,  # a peer's message: weldhatch shares nothing
     20: _health,
     30: _change,
     40: _resident,
