--- /dev/null
+++ b/weldhatch/core/driver.py
@@ -0,0 +1,87 @@
+"""The one driver of the policy: batches of events in, actions routed back. No decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import traceback
+from collections.abc import Callable
+
+from weldhatch import interface as i
+from weldhatch.core.ports import Decider, Directory, Site
+
+
+def unix_us() -> int:
+    return time.time_ns() // 1000
+
+
+class Driver:
+    """Feeds the policy. Events posted while a batch is decided go into the next one: no re-entry."""
+
+    def __init__(self, policy: Decider, log: Callable[[str], None]) -> None:
+        self._policy, self._log = policy, log
+        self._inbox: list[i.Event] = []
+        self._waiting: list[asyncio.Future] = []
+        self._loop = asyncio.get_running_loop()
+        self._lives: dict[int, Callable[[i.Action], None]] = {}
+        self._last = 0
+        self.site: Site | None = None
+        self.directory: Directory | None = None
+
+    def register(self, decided: Callable[[i.Action], None]) -> int:
+        """A number for a new request, whose actions go to `decided` until it is forgotten."""
+        self._last += 1
+        self._lives[self._last] = decided
+        return self._last
+
+    def forget(self, request: int) -> None:
+        self._lives.pop(request, None)
+
+    def post(self, event: i.Event) -> None:
+        if not self._inbox:
+            self._loop.call_soon(self._run)
+        self._inbox.append(event)
+
+    def settled(self, event: i.Event) -> asyncio.Future:
+        """Post the event; done once its batch has been decided and its actions have been routed."""
+        self.post(event)
+        done = self._loop.create_future()
+        self._waiting.append(done)
+        return done
+
+    def _run(self) -> None:
+        events, self._inbox = self._inbox, []
+        waiting, self._waiting = self._waiting, []
+        self._decide(events)
+        for done in waiting:
+            if not done.done():
+                done.set_result(None)
+
+    def _decide(self, events: list[i.Event]) -> None:
+        try:
+            actions = self._policy.handle(unix_us(), events)
+        except Exception:
+            # One bad batch must not take the standing tasks of everyone down with the process. The
+            # requests in it still get their final answer: from the module's timers, or at the deadline.
+            self._log("the policy failed on a batch: " + traceback.format_exc().replace("\n", " | "))
+            return
+        for action in actions:
+            self._route(action)
+
+    def _route(self, action: i.Action) -> None:
+        match action:
+            case i.SetTimer(after, timer):
+                self._loop.call_later(after / 1e6, self.post, i.TimerFired(timer))
+            case i.Probe(machine):
+                sent = unix_us()
+                self.site.probe(machine, lambda outcome, report: self.post(
+                    i.ProbeAnswered(machine, outcome, max(0, unix_us() - sent), report)))
+            case i.Subscribe(on):
+                self.directory.subscribe(on)
+            case i.FetchList():
+                self.directory.subscribe(True)  # a subscription has told all there is to tell
+            case i.Log(text):
+                self._log(text)
+            case _:
+                if decided := self._lives.get(action.request):
+                    decided(action)
--- /dev/null
+++ b/weldhatch/core/life.py
@@ -0,0 +1,194 @@
+"""One request from its arrival to its release, in one coroutine that reads from top to bottom."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from weldhatch import interface as i
+from weldhatch.core.driver import Driver, unix_us
+from weldhatch.core.ports import (
+    CALLED_OFF, GIVEN_UP, Answered, Ended, GivenUp, Noted, Overdue, Owner, Released, Site, Task, TimeUp,
+)
+
+OVERDUE_US = 20_000  # the module answers before the deadline; so long after it, the core does
+
+
+class Core:
+    """All requests under way. A front hands in what is asked and keeps the `Life` to pass words to."""
+
+    def __init__(self, driver: Driver, site: Site, log: Callable[[str], None]) -> None:
+        self.driver, self.site, self.log = driver, site, log
+        self.unanswered = 0
+        self.lives: set[Life] = set()
+
+    def arrive(self, task: Task, owner: Owner) -> Life:
+        return Life(self, task, owner, None)
+
+    def adopt(self, task: Task, machine: int, owner: Owner) -> Life:
+        """A task that runs on a machine already comes into this dispatcher's care."""
+        return Life(self, task, owner, machine)
+
+
+class Life:
+    """Exactly one final answer, one end an attempt, and never two attempts out: all three hold by the
+    shape of `_run`, which is the only place that answers, offers and ends."""
+
+    def __init__(self, core: Core, task: Task, owner: Owner, machine: int | None) -> None:
+        self._core, self._driver, self._site = core, core.driver, core.site
+        self.task, self._owner = task, owner
+        self._words: deque[object] = deque()
+        self._wake: asyncio.Future | None = None
+        self._attempts = 0
+        self._loop = asyncio.get_running_loop()
+        self.id = self._driver.register(self.tell)
+        core.lives.add(self)
+        core.unanswered += machine is None
+        self._running = self._loop.create_task(self._run(machine))
+
+    def tell(self, word: object) -> None:
+        """A word from the module, a machine, the owner or a timer; each is heard in its turn."""
+        self._words.append(word)
+        if self._wake is not None:
+            self._wake.set_result(None)
+            self._wake = None
+
+    async def _next(self) -> object:
+        while not self._words:
+            self._wake = self._loop.create_future()
+            await self._wake
+        return self._words.popleft()
+
+    async def _run(self, machine: int | None) -> None:
+        try:
+            if machine is None:
+                placed = await self._place()
+            else:
+                placed = self._adopted(machine)
+            if placed is not None:
+                await self._stand(*placed)
+        finally:
+            self._driver.forget(self.id)
+            self._core.lives.discard(self)
+
+    # ---- from the arrival to the final answer --------------------------------------------------------------
+
+    async def _place(self) -> tuple[int, int, int] | None:
+        """Ask the module, offer where it says, answer what it decides; where and when the task stands."""
+        task = self.task
+        self._driver.post(i.RequestArrived(
+            self.id, task.class_index, task.deadline_us, task.service, task.cores, task.memory,
+            task.key, task.tenant, None, task.again))
+        left = max(0, task.deadline_us - unix_us()) + OVERDUE_US
+        overdue = self._loop.call_later(left / 1e6, self.tell, Overdue())
+        try:
+            while True:
+                match await self._next():
+                    case i.Offer(_, machine, give_up):
+                        over, placed = await self._attempt(machine, give_up)
+                        if over:
+                            return placed
+                    case i.Refuse(_, wait):
+                        self._owner.refused(wait)
+                        return None
+                    case i.Fail():
+                        self._owner.failed()
+                        return None
+                    case Overdue():
+                        # Guards against a module that never decides: the owner is owed an answer in time.
+                        self._core.log(f"request {self.id}: no decision by the deadline")
+                        self._owner.failed()
+                        await self._withdraw()
+                        return None
+                    case GivenUp():
+                        await self._withdraw()
+                        return None
+        finally:
+            overdue.cancel()
+            self._core.unanswered -= 1
+
+    async def _withdraw(self) -> None:
+        """The request is over without the module's word.
+
+        Guards against an offer decided in the batch that also told of the end: unless it gets its end
+        too, the module counts it as out for ever.
+        """
+        await self._driver.settled(i.RequestGone(self.id))
+        for word in self._words:
+            if isinstance(word, i.Offer):
+                self._ended(word.machine, self._attempts, unix_us(), i.Outcome.NOT_SENT, closed=True)
+                self._attempts += 1
+
+    async def _attempt(self, machine: int, give_up_us: int) -> tuple[bool, tuple[int, int, int] | None]:
+        """One attempt from its offer to its one end; whether the request is over, and where it stands."""
+        number, sent = self._attempts, unix_us()
+        self._attempts += 1
+        wait = max(0, self.task.deadline_us - sent)
+        if give_up_us:
+            wait = min(wait, give_up_us)
+        timer = self._loop.call_later(wait / 1e6, self.tell, TimeUp(number))
+        self._site.offer(machine, self.task, number, wait, self)
+        try:
+            while True:
+                match await self._next():
+                    case Answered(attempt, description) if attempt == number:
+                        self._owner.placed(description)
+                        self._driver.post(i.Placed(self.id, number, machine, unix_us() - sent))
+                        return True, (machine, number, sent)
+                    case Ended(attempt, outcome, reason, report) if attempt == number:
+                        self._ended(machine, number, sent, outcome, reason, report)
+                        return False, None
+                    case TimeUp(attempt) if attempt == number:
+                        return self._let_go(machine, number, sent, i.Outcome.TIMEOUT)
+                    case i.Cancel(_, attempt) if attempt == number:
+                        return self._let_go(machine, number, sent, i.Outcome.CANCELLED)
+                    case GivenUp():
+                        self._driver.post(i.RequestGone(self.id))
+                        self._let_go(machine, number, sent, i.Outcome.CANCELLED, closed=True)
+                        return True, None
+                    case Noted(attempt, topic, value) if attempt == number:
+                        self._driver.post(i.Note(self.id, number, machine, topic, value))
+        finally:
+            timer.cancel()
+
+    def _let_go(self, machine: int, number: int, sent: int, outcome: i.Outcome,
+                closed: bool = False) -> tuple[bool, None]:
+        """The server is told, and may have run the task all the same."""
+        self._site.give_up(machine, self.task)
+        self._ended(machine, number, sent, outcome, closed=closed)
+        return False, None
+
+    def _ended(self, machine: int, number: int, sent: int, outcome: i.Outcome, reason: int = 0,
+               report: tuple[float, ...] = (), closed: bool = False) -> None:
+        self._driver.post(i.AttemptEnded(
+            self.id, number, machine, outcome, max(0, unix_us() - sent), reason, closed, report))
+
+    # ---- while the task stands -----------------------------------------------------------------------------
+
+    def _adopted(self, machine: int) -> tuple[int, int, int]:
+        task = self.task
+        self._driver.post(i.TaskAdopted(
+            self.id, task.class_index, task.service, task.cores, task.memory, machine, task.key, task.tenant))
+        self._site.adopt(machine, task, self)
+        return machine, 0, unix_us()
+
+    async def _stand(self, machine: int, number: int, sent: int) -> None:
+        """Until the machine tells of the end, which goes to the owner unless the owner brought it about."""
+        owner_knows = False
+        while True:
+            match await self._next():
+                case Noted(attempt, topic, value) if attempt == number:
+                    self._driver.post(i.Note(self.id, number, machine, topic, value))
+                case Released(cause) if not owner_knows:
+                    owner_knows = True
+                    self._site.release(machine, self.task, cause)
+                case i.Move() if not owner_knows:
+                    owner_knows = True
+                    self._owner.moved()
+                    self._site.move(machine, self.task)
+                case Ended(attempt, outcome, reason, report, cause) if attempt == number:
+                    self._ended(machine, number, sent, outcome, reason, report, closed=True)
+                    if not owner_knows and cause != CALLED_OFF:
+                        self._owner.released(cause or GIVEN_UP)
+                    return
--- /dev/null
+++ b/weldhatch/core/ports.py
@@ -0,0 +1,130 @@
+"""What the core needs of the world round it, and the words that pass between them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from weldhatch.interface import Action, Event, Outcome
+
+GIVEN_UP = 16  # the cause of a set-up that is given up, and of a task that came to its end
+CUT = 41  # the cause of a task that was cut, or lost with its machine
+CALLED_OFF = 31  # the cause of a task that its owner ended or the dispatcher moved
+
+
+@dataclass(slots=True, frozen=True)
+class Task:
+    """What is asked. `label` names it to the machine; `passed_on` is the front's own, unread here."""
+
+    label: object
+    class_index: int
+    service: int
+    cores: float
+    memory: float
+    deadline_us: int
+    key: int = 0
+    tenant: int = 0
+    again: bool = False
+    passed_on: object = None
+
+
+# ---- words to a request's coroutine -----------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """A machine holds the task now; the description goes to the owner unchanged."""
+
+    attempt: int
+    description: str | None
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """The one end of an attempt, before the answer or after it."""
+
+    attempt: int
+    outcome: Outcome
+    reason: int = 0
+    report: tuple[float, ...] = ()
+    cause: int = CUT
+
+
+@dataclass(slots=True, frozen=True)
+class Noted:
+    attempt: int
+    topic: int
+    value: float
+
+
+@dataclass(slots=True, frozen=True)
+class TimeUp:
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Overdue:
+    """The owner's deadline has passed and the module has not decided."""
+
+
+@dataclass(slots=True, frozen=True)
+class GivenUp:
+    """The owner no longer waits for its answer."""
+
+
+@dataclass(slots=True, frozen=True)
+class Released:
+    """The owner ends a task that stands."""
+
+    cause: int
+
+
+class Teller(Protocol):
+    """A request's coroutine, as the parties outside the core see it."""
+
+    def tell(self, word: object) -> None: ...
+
+
+class Owner(Protocol):
+    """The one who asked. Exactly one of placed, refused and failed is called, and only once."""
+
+    def placed(self, description: str | None) -> None: ...
+
+    def refused(self, wait_us: int) -> None: ...
+
+    def failed(self) -> None: ...
+
+    def released(self, cause: int) -> None:
+        """A task that stood is over; not called where the owner ended it."""
+
+    def moved(self) -> None: ...
+
+
+class Site(Protocol):
+    """The machines. Every offer gets one `Ended`, unless it is given up first."""
+
+    def offer(self, machine: int, task: Task, attempt: int, wait_us: int, teller: Teller) -> None: ...
+
+    def adopt(self, machine: int, task: Task, teller: Teller) -> None:
+        """The task runs there already; its end is told as that of attempt 0."""
+
+    def give_up(self, machine: int, task: Task) -> None: ...
+
+    def release(self, machine: int, task: Task, cause: int) -> None: ...
+
+    def move(self, machine: int, task: Task) -> None: ...
+
+    def probe(self, machine: int, done: Callable[[Outcome, tuple[float, ...]], None]) -> None: ...
+
+
+class Directory(Protocol):
+    """Where the list of machines comes from."""
+
+    def subscribe(self, on: bool) -> None: ...
+
+
+class Decider(Protocol):
+    """The decision module."""
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]: ...
--- /dev/null
+++ b/weldhatch/net/connection.py
@@ -0,0 +1,123 @@
+"""One connection: an IOStream with one bounded ring buffer a direction."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from weldhatch.net.ring import Ring
+
+MESSAGE_MOST = 16 * 1024  # a longer message closes its connection
+IN_MOST = MESSAGE_MOST + 2048  # one message, and the start of the next
+OUT_MOST = 128 * 1024  # a peer that leaves so much unread is closed
+
+
+class Malformed(Exception):
+    """What came in does not follow the protocol; the text says how."""
+
+
+class Slots(Protocol):
+    """Where a socket's slot of the descriptor budget goes back to."""
+
+    def give_back(self) -> None: ...
+
+
+class Connection:
+    """Owns its socket and its slot in the budget; both are given back in `close`, once."""
+
+    def __init__(self, stream: IOStream, slots: Slots, name: str, log: Callable[[str], None]) -> None:
+        self._stream, self._slots, self.name, self._log = stream, slots, name, log
+        self._in, self._out = Ring(IN_MOST), Ring(OUT_MOST)
+        self._flushing: asyncio.Task | None = None
+        self._flush_soon = False
+        self.closed = self.reset = False
+        self.heard = time.monotonic()
+        stream.set_nodelay(True)
+
+    async def pump(self, parse: Callable[[Ring], object], handle: Callable[[object], None]) -> None:
+        """Hand on each message until the connection ends; then give it back."""
+        try:
+            while not self.closed:
+                count = await self._stream.read_into(self._in.room(), partial=True)
+                self._in.filled(count)
+                self.heard = time.monotonic()
+                while not self.closed and (message := parse(self._in)) is not None:
+                    handle(message)
+                if len(self._in) > MESSAGE_MOST:
+                    raise Malformed(f"a message over {MESSAGE_MOST} bytes")
+        except StreamClosedError as end:
+            self.reset = isinstance(end.real_error, ConnectionResetError)
+        except Malformed as fault:
+            if not self.closed:
+                self._log(f"{self.name}: closed: {fault}")
+        finally:
+            self.close()
+
+    def send(self, data: bytes) -> bool:
+        """Queue the bytes; False where the connection is closed, or was for leaving too much unread."""
+        if self.closed:
+            return False
+        if not self._out.put(data):
+            self._log(f"{self.name}: closed: it leaves more than {OUT_MOST} bytes unread")
+            self.close()
+            return False
+        if self._flushing is None and not self._flush_soon:  # all that is sent in one turn goes out together
+            self._flush_soon = True
+            asyncio.get_running_loop().call_soon(self._start)
+        return True
+
+    def _start(self) -> None:
+        self._flush_soon = False
+        if self._flushing is None and not self.closed:
+            self._flushing = asyncio.get_running_loop().create_task(self._flush())
+
+    async def _flush(self) -> None:
+        try:
+            while len(self._out) and not self.closed:
+                front = self._out.front()
+                await self._stream.write(front)
+                self._out.drop(len(front))
+        except StreamClosedError:
+            pass  # the reader sees it too, and closes
+        finally:
+            self._flushing = None
+
+    async def finish(self, within: float) -> None:
+        """Close once all that was sent has left, or when the time is up."""
+        end = time.monotonic() + within
+        while len(self._out) and not self.closed and time.monotonic() < end:
+            self._start()
+            task = self._flushing
+            if task is not None:
+                await asyncio.wait([task], timeout=max(0.0, end - time.monotonic()))
+        self.close()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._stream.close()
+            self._slots.give_back()
+
+
+async def connect(endpoint: tuple[str, int], within: float, slots: Slots, name: str,
+                  log: Callable[[str], None]) -> Connection:
+    """A new connection; OSError where it is refused, TimeoutError where it never comes up.
+
+    The caller has taken the slot. A failure gives it back here, a success hands it to the connection.
+    """
+    stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    try:
+        async with asyncio.timeout(within):
+            await stream.connect(endpoint)
+    except BaseException as error:
+        stream.close()
+        slots.give_back()
+        if isinstance(error, StreamClosedError):
+            raise (error.real_error or ConnectionError("closed")) from None
+        raise
+    return Connection(stream, slots, name, log)
--- /dev/null
+++ b/weldhatch/net/listener.py
@@ -0,0 +1,58 @@
+"""A listening socket that accepts only as far as the descriptor budget allows."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+
+from weldhatch.net.budget import Share
+
+BACKLOG = 512
+
+
+class Listener:
+    """Owns the listening socket. A connection that finds no slot waits in the backlog for the next one."""
+
+    def __init__(self, address: tuple[str, int], share: Share, taken: Callable[[IOStream, str], None],
+                 full: Callable[[], None] = lambda: None) -> None:
+        self._share, self._taken, self._full = share, taken, full
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind(address)
+        self._socket.listen(BACKLOG)
+        self.address: tuple[str, int] = self._socket.getsockname()
+        self._open = True
+        self._resume()
+
+    def _resume(self) -> None:
+        if self._open:
+            asyncio.get_running_loop().add_reader(self._socket.fileno(), self._ready)
+
+    def _ready(self) -> None:
+        while self._open:
+            if not self._share.take():
+                self._pause()
+                return
+            try:
+                accepted, peer = self._socket.accept()
+            except OSError:  # nothing left to accept, or the peer has gone again
+                self._share.give_back()
+                return
+            accepted.setblocking(False)
+            self._taken(IOStream(accepted), peer[0])
+
+    def _pause(self) -> None:
+        """No slot is left: ask for idle ones back, and go on once one is free."""
+        asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        self._share.when_free(self._resume)
+        self._full()
+
+    def close(self) -> None:
+        if self._open:
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+            self._open = False
+            self._socket.close()
--- /dev/null
+++ b/weldhatch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: owners on JSON lines, servers on binary messages, the event bus."""
--- /dev/null
+++ b/weldhatch/platform/binary.py
@@ -0,0 +1,69 @@
+"""Servers' messages: a length, a type, the task's eight bytes, and parameters by code."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+
+from weldhatch.net.connection import MESSAGE_MOST, Malformed
+from weldhatch.net.ring import Ring
+
+SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, NOTE, MOVE, TEST, TESTED = 1, 6, 9, 12, 16, 44, 51, 52, 53
+CLASS, LEFT, NAME, TOPIC, REPORT, FIGURE, KEY, CAUSE, DESCRIPTION = 64, 65, 68, 71, 73, 76, 77, 78, 79
+
+_LENGTH = struct.Struct(">H")
+_HEAD = struct.Struct(">HB8s")
+_PARAMETER = struct.Struct(">BH")
+
+
+@dataclass(slots=True)
+class Message:
+    type: int
+    tag: bytes
+    parameters: dict[int, bytes] = field(default_factory=dict)
+
+    @property
+    def cause(self) -> int:
+        value = self.parameters.get(CAUSE, b"")
+        if len(value) != 1:
+            raise Malformed(f"a message of type {self.type} without a cause")
+        return value[0]
+
+    def text(self, code: int) -> str:
+        try:
+            return self.parameters.get(code, b"").decode()
+        except UnicodeDecodeError:
+            raise Malformed(f"parameter {code} is no text") from None
+
+
+def parse(ring: Ring) -> Message | None:
+    """The next message of the ring, or None where it is not whole yet."""
+    if len(ring) < 2:
+        return None
+    (length,) = _LENGTH.unpack(ring.copy(2))
+    if length < 9 or length > MESSAGE_MOST:
+        raise Malformed(f"a message of {length} bytes")
+    if len(ring) < 2 + length:
+        return None
+    data = ring.take(2 + length)
+    _, kind, tag = _HEAD.unpack_from(data)
+    parameters = {}
+    at = _HEAD.size
+    while at < len(data):
+        if at + 3 > len(data):
+            raise Malformed("a parameter is cut short")
+        code, size = _PARAMETER.unpack_from(data, at)
+        at += 3
+        if at + size > len(data):
+            raise Malformed(f"parameter {code} is cut short")
+        parameters[code] = data[at:at + size]
+        at += size
+    return Message(kind, tag, parameters)
+
+
+def encode(kind: int, tag: bytes, parameters: dict[int, bytes] | None = None) -> bytes:
+    parts = [b""]
+    for code, value in (parameters or {}).items():
+        parts += (_PARAMETER.pack(code, len(value)), value)
+    body = b"".join(parts)
+    return _HEAD.pack(9 + len(body), kind, tag) + body
--- /dev/null
+++ b/weldhatch/platform/fleet.py
@@ -0,0 +1,77 @@
+"""The list of machines as the event bus tells it: uids, addresses and numbers, merged event by event."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from weldhatch import interface as i
+
+_STATES = {"ready": i.MachineState.READY, "draining": i.MachineState.DRAINING, "gone": i.MachineState.GONE}
+
+
+@dataclass(slots=True, frozen=True)
+class Server:
+    """One machine under its uid: an address passes to other machines, a uid never does."""
+
+    machine: int
+    uid: str
+    endpoint: tuple[str, int]
+    state: i.MachineState
+    boot_ms: int
+
+
+def number_of(uid: str) -> int:
+    """The machine's number for the policy: the same at every dispatcher, whose homes must agree."""
+    return int.from_bytes(hashlib.blake2b(uid.encode(), digest_size=6).digest(), "big")
+
+
+class Fleet:
+    """Turns bus events into list events for the policy, and knows the newest address of each machine."""
+
+    def __init__(self, settings: i.Settings, changed: Callable[[list[Server]], None],
+                 log: Callable[[str], None]) -> None:
+        self._zones = {name: n for n, name in enumerate(settings.zones)}
+        self._kinds = {kind.name: n for n, kind in enumerate(settings.kinds)}
+        self._cells: dict[object, int] = {}
+        self._changed, self._log = changed, log
+        self.servers: dict[int, Server] = {}
+        self.offset = 0
+
+    def take(self, event: dict) -> i.MachinesChanged | None:
+        """One event of the bus; None where it is old. Raises ValueError where it can't be read."""
+        try:
+            offset = int(event["offset"])
+            if offset <= self.offset:
+                return None
+            topology = event["topology"]
+            whole = bool(topology.get("all"))
+            entries = [self._entry(target) for target in topology.get("targets") or ()]
+            version = int(topology.get("rev") or 0)
+        except (KeyError, TypeError, AttributeError) as fault:
+            raise ValueError(f"event bus: an event that can't be read: {fault!r}") from None
+        first, self.offset = not self.offset, offset
+        servers = [server for server, _ in entries]
+        if whole:
+            named = {server.machine for server in servers}
+            servers += [replace(old, state=i.MachineState.GONE) for old in self.servers.values()
+                        if old.machine not in named]
+        self.servers.update((server.machine, server) for server in servers)
+        self._changed(servers)
+        form = i.ListForm.CACHED if first and whole else i.ListForm.FULL if whole else i.ListForm.DELTA
+        return i.MachinesChanged(form, tuple(machine for _, machine in entries), version)
+
+    def _entry(self, target: dict) -> tuple[Server, i.Machine]:
+        uid, state, boot = str(target["uid"]), _STATES[target["state"]], int(target.get("boot_ms") or 0)
+        number = number_of(uid)
+        host, _, port = str(target.get("endpoint") or ":0").rpartition(":")
+        cell = target.get("pod_group")
+        cell = cell if isinstance(cell, int) else self._cells.setdefault(cell, len(self._cells))
+        zone = self._zones.get(target.get("az"), 0)
+        kind = self._kinds.get(target.get("model"), 0)
+        if target.get("az") not in self._zones or target.get("model") not in self._kinds:
+            self._log(f"event bus: {uid} is in an unknown zone or of an unknown kind")
+        machine = i.Machine(number, zone, kind, cell, state, boot * 1000,
+                            weight=float(target.get("capacity_hint") or 1))
+        return Server(number, uid, (host, int(port)), state, boot), machine
--- /dev/null
+++ b/weldhatch/platform/servers.py
@@ -0,0 +1,338 @@
+"""The servers: one link a machine, which carries its set-ups, probes, standing tasks and releases."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from weldhatch import interface as i
+from weldhatch.core import ports
+from weldhatch.net.budget import Share
+from weldhatch.net.connection import Connection, Malformed, connect
+from weldhatch.platform import binary as b
+from weldhatch.platform.fleet import Server
+
+QUIET_S = 1.5  # a server with tasks of ours that says nothing for so long is sent a test
+SILENT_S = 1.5  # one that leaves a message unanswered, and says nothing, for so long has vanished
+WATCH_S = 0.25
+LOST_TRIES = 2  # connects that never come up before the tasks of a silent machine count as lost
+UNCLAIMED_MOST = 4096  # releases of tasks that no owner has named yet
+BEFORE = {34: i.Outcome.FULL, 47: i.Outcome.ERROR, 102: i.Outcome.NOT_SENT}  # any other: a reset
+AFTER = {16: i.Outcome.OK, 31: i.Outcome.CANCELLED}
+TOPICS = {"runs": 1, "cores": 2, "memory": 3, "served": 4, "pressure": 5}
+REASONS = {"no_cores": 1, "no_memory": 2, "queue_full": 3, "not_here": 4, "evicted": 5, "pushed_out": 6,
+           "sent_away": 7}
+
+
+@dataclass(slots=True)
+class Names:
+    """What a platform task is called on the wire, passed on as it came."""
+
+    tag: bytes
+    class_name: str
+    name: str
+    idem: str
+    description: str
+
+
+@dataclass(slots=True)
+class Held:
+    """A set-up that is out, or a task that stands."""
+
+    attempt: int
+    teller: ports.Teller
+    since: float
+
+
+class Link:
+    """The one connection to a machine. It owns what is out there and what stands there."""
+
+    def __init__(self, servers: Servers, server: Server) -> None:
+        self._servers, self.server = servers, server
+        self._up: Connection | None = None
+        self._connecting: asyncio.Task | None = None
+        self._pending: dict[object, bytes] = {}  # what waits for the connection, by tag or probe
+        self.out: dict[bytes, Held] = {}
+        self.standing: dict[bytes, Held] = {}
+        self.probes: dict[bytes, tuple[Callable, asyncio.TimerHandle]] = {}
+        self._asked = 0.0  # when the first message since the last sign of life went out
+
+    def send(self, name: object, data: bytes) -> None:
+        if self._up is not None and not self._up.closed:
+            if not self._asked or self._up.heard > self._asked:
+                self._asked = time.monotonic()
+            self._up.send(data)
+        else:
+            self._pending[name] = data
+            self.open()
+
+    def open(self) -> None:
+        if self._connecting is None and (self._up is None or self._up.closed):
+            self._connecting = asyncio.get_running_loop().create_task(self._live())
+
+    def unsent(self, name: object) -> None:
+        self._pending.pop(name, None)
+
+    async def _live(self) -> None:
+        """Connect, speak until the connection ends, and settle what was open on it.
+
+        A machine that still holds tasks of ours is connected to again, to hear how they end.
+        """
+        tries = 0
+        try:
+            while True:
+                try:
+                    self._up = await self._servers.connect(self.server)
+                except (OSError, TimeoutError) as error:
+                    tries += 1
+                    self._never_up()
+                    refused = isinstance(error, ConnectionError)
+                    if self.standing and (refused or tries >= LOST_TRIES):
+                        self.lose("refuses connections" if refused else "is silent")
+                else:
+                    tries = 0
+                    self._asked = time.monotonic() if self._pending else 0.0
+                    pending, self._pending = self._pending, {}
+                    self._up.send(b"".join(pending.values()))
+                    await self._up.pump(b.parse, self._handle)
+                    self._broken()
+                if not (self.standing or self._pending):
+                    return
+                await asyncio.sleep(0.02 if not tries else 0.2)
+        finally:
+            self._connecting = None
+
+    def drop(self, why: str) -> None:
+        self._servers.log(f"server {self.server.uid}: {why}")
+        if self._up is not None:
+            self._up.close()
+
+    def _never_up(self) -> None:
+        """No connection: what waited for it never ran."""
+        self._pending.clear()
+        self._end_open(i.Outcome.CONNECT_FAILED)
+
+    def _broken(self) -> None:
+        """The connection ended: what was out on it may have run."""
+        self._up = None
+        self._end_open(i.Outcome.RESET)
+
+    def _end_open(self, outcome: i.Outcome) -> None:
+        out, self.out = self.out, {}
+        for held in out.values():
+            held.teller.tell(ports.Ended(held.attempt, outcome))
+        probes, self.probes = self.probes, {}
+        for done, timer in probes.values():
+            timer.cancel()
+            done(outcome, ())
+
+    def lose(self, why: str, before: float = float("inf")) -> None:
+        """The tasks that stood there are cut: those that stood before that moment."""
+        cut = {tag: held for tag, held in self.standing.items() if held.since < before}
+        if cut:
+            self._servers.log(f"server {self.server.uid}: {why}; {len(cut)} tasks are lost")
+        for tag, held in cut.items():
+            del self.standing[tag]
+            held.teller.tell(ports.Ended(held.attempt, i.Outcome.RESET, cause=ports.CUT))
+
+    def watch(self, now: float) -> None:
+        """Guards against a machine that vanished: it gives no sign, so its silence must be noticed."""
+        up = self._up
+        if up is None or up.closed:
+            return
+        if self._asked and self._asked >= up.heard:
+            if now - self._asked > SILENT_S:
+                self.drop("silent, the connection is dropped")
+        elif self.standing and now - up.heard > QUIET_S:
+            self._servers.test(self)
+
+    def close(self) -> None:
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self._up is not None:
+            self._up.close()
+
+    def close_idle(self) -> None:
+        if not (self.out or self.standing or self.probes or self._pending) and self._up is not None:
+            self._up.close()
+
+    # ---- what a server says --------------------------------------------------------------------------------
+
+    def _handle(self, message: b.Message) -> None:
+        match message.type:
+            case b.ANSWER:
+                if held := self.out.pop(message.tag, None):
+                    self.standing[message.tag] = held
+                    held.since = time.time()
+                    held.teller.tell(ports.Answered(held.attempt, message.text(b.DESCRIPTION)))
+            case b.RELEASE:
+                self._release(message)
+            case b.NOTE:
+                held = self.standing.get(message.tag) or self.out.get(message.tag)
+                topic = TOPICS.get(message.text(b.TOPIC))
+                if held is not None and topic is not None:
+                    held.teller.tell(ports.Noted(held.attempt, topic, _number(message.text(b.FIGURE))))
+            case b.TESTED:
+                if probe := self.probes.pop(message.tag, None):
+                    done, timer = probe
+                    timer.cancel()
+                    report = self._servers.report(message)
+                    done(i.Outcome.OK if message.cause == 1 else i.Outcome.FULL, report)
+            case b.TEST:
+                self._up.send(b.encode(b.TESTED, message.tag, {b.CAUSE: b"\1"}))
+            case b.PROGRESS | b.RELEASE_HEARD:
+                pass
+            case _:
+                raise Malformed(f"a message of unknown type {message.type}")
+
+    def _release(self, message: b.Message) -> None:
+        cause, reason = message.cause, REASONS.get(message.text(b.TOPIC), 0)
+        report = self._servers.report(message)
+        if held := self.out.pop(message.tag, None):
+            outcome = BEFORE.get(cause, i.Outcome.RESET)
+            held.teller.tell(ports.Ended(held.attempt, outcome, reason, report, cause))
+        elif held := self.standing.pop(message.tag, None):
+            outcome = AFTER.get(cause, i.Outcome.RESET)
+            held.teller.tell(ports.Ended(held.attempt, outcome, reason, report, cause))
+        else:
+            self._servers.unclaimed(message.tag, ports.Ended(
+                0, AFTER.get(cause, i.Outcome.RESET), reason, report, cause))
+
+
+class Servers:
+    """All links: the platform's side of `ports.Site`."""
+
+    def __init__(self, settings: i.Settings, share: Share, dial_s: float, probe_s: float,
+                 log: Callable[[str], None]) -> None:
+        self._fields, self._share = settings.report_fields, share
+        self._dial_s, self._probe_s, self.log = dial_s, probe_s, log
+        self._links: dict[int, Link] = {}
+        self._unclaimed: dict[bytes, ports.Ended] = {}
+        self._tests = 0
+        self._watching = asyncio.get_running_loop().create_task(self._watch())
+
+    # ---- the list ------------------------------------------------------------------------------------------
+
+    def changed(self, servers: list[Server]) -> None:
+        """News of machines: of a new address, a new start, or the end."""
+        for server in servers:
+            link = self._links.get(server.machine)
+            if link is None:
+                self._links[server.machine] = Link(self, server)
+                continue
+            old, link.server = link.server, server
+            if server.endpoint != old.endpoint and server.state != i.MachineState.GONE:
+                link.drop("has a new address")
+            if server.boot_ms > old.boot_ms:
+                link.lose("has started anew", server.boot_ms / 1000)
+            if server.state == i.MachineState.GONE and link.standing:
+                link.open()  # what stood there is lost if the machine is: the connect tells
+
+    async def connect(self, server: Server) -> Connection:
+        if not self._share.take():
+            raise TimeoutError("no descriptor is left")
+        return await connect(server.endpoint, self._dial_s, self._share, f"server {server.uid}", self.log)
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_S)
+            now = time.monotonic()
+            for link in list(self._links.values()):
+                link.watch(now)
+
+    def close(self) -> None:
+        self._watching.cancel()
+        for link in self._links.values():
+            link.close()
+
+    # ---- what the core asks for ----------------------------------------------------------------------------
+
+    def offer(self, machine: int, task: ports.Task, attempt: int, wait_us: int, teller: ports.Teller) -> None:
+        link, names = self._links.get(machine), task.passed_on
+        if link is None:
+            teller.tell(ports.Ended(attempt, i.Outcome.NOT_SENT))
+            return
+        link.out[names.tag] = Held(attempt, teller, 0.0)
+        parameters = {b.CLASS: names.class_name.encode(), b.LEFT: str(max(1, wait_us // 1000)).encode(),
+                      b.NAME: names.name.encode()}
+        if names.idem:
+            parameters[b.KEY] = names.idem.encode()
+        parameters[b.DESCRIPTION] = names.description.encode()
+        link.send(names.tag, b.encode(b.SET_UP, names.tag, parameters))
+
+    def adopt(self, machine: int, task: ports.Task, teller: ports.Teller) -> None:
+        """Its end comes on any open connection, or on the next one: one is kept open for it."""
+        tag, link = task.passed_on.tag, self._links.get(machine)
+        if ended := self._unclaimed.pop(tag, None):
+            teller.tell(ended)
+        elif link is None:
+            self.log(f"a task on machine {machine}, which no list has named")
+            teller.tell(ports.Ended(0, i.Outcome.RESET))
+        else:
+            link.standing[tag] = Held(0, teller, time.time())
+            link.open()
+
+    def give_up(self, machine: int, task: ports.Task) -> None:
+        link, tag = self._links[machine], task.passed_on.tag
+        if link.out.pop(tag, None) is not None:
+            if tag in link._pending:
+                link.unsent(tag)
+            else:
+                link.send((tag, "up"), b.encode(b.RELEASE, tag, {b.CAUSE: bytes((ports.GIVEN_UP,))}))
+
+    def release(self, machine: int, task: ports.Task, cause: int) -> None:
+        self._links[machine].send((task.passed_on.tag, "end"), b.encode(
+            b.RELEASE, task.passed_on.tag, {b.CAUSE: bytes((cause & 255,))}))
+
+    def move(self, machine: int, task: ports.Task) -> None:
+        self._links[machine].send((task.passed_on.tag, "move"), b.encode(b.MOVE, task.passed_on.tag))
+
+    def probe(self, machine: int, done: Callable[[i.Outcome, tuple[float, ...]], None]) -> None:
+        link = self._links.get(machine)
+        if link is None:
+            done(i.Outcome.CONNECT_FAILED, ())
+            return
+        tag = self._test_tag()
+        timer = asyncio.get_running_loop().call_later(self._probe_s, self._probe_late, link, tag)
+        link.probes[tag] = (done, timer)
+        link.send(tag, b.encode(b.TEST, tag, {b.CAUSE: b"\1"}))
+
+    def _probe_late(self, link: Link, tag: bytes) -> None:
+        done, _ = link.probes.pop(tag)
+        link.unsent(tag)
+        done(i.Outcome.TIMEOUT, ())
+
+    def test(self, link: Link) -> None:
+        """A test that nobody waits for: any answer shows life."""
+        tag = self._test_tag()
+        link.send(tag, b.encode(b.TEST, tag, {b.CAUSE: b"\0"}))
+
+    def _test_tag(self) -> bytes:
+        self._tests += 1
+        return self._tests.to_bytes(8, "big")
+
+    # ---- what links ask for --------------------------------------------------------------------------------
+
+    def unclaimed(self, tag: bytes, ended: ports.Ended) -> None:
+        """Guards against a race after a restart: the release may come before the owner names the task."""
+        self._unclaimed[tag] = ended
+        if len(self._unclaimed) > UNCLAIMED_MOST:
+            del self._unclaimed[next(iter(self._unclaimed))]
+
+    def report(self, message: b.Message) -> tuple[float, ...]:
+        text = message.text(b.REPORT)
+        if not text:
+            return ()
+        values = dict(part.split(":", 1) for part in text.split(";") if ":" in part)
+        if not all(name in values for name in self._fields):
+            return ()
+        return tuple(_number(values[name]) for name in self._fields)
+
+
+def _number(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        raise Malformed(f"a figure that is no number: {text!r}") from None
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -1,4 +1,4 @@
-"""The decisions of weldhatch. Types, events, actions: `weldhatch/interface.py`; records: `weldhatch/state.py`.
+"""The decisions of weldhatch. Types: `weldhatch/interface.py`; records: `weldhatch/state.py`.
 
 Every request takes one path (Xie, Dong, Lu, Srikant, SIGMETRICS 2015): filter the eligible machines, draw a
 few uniformly, probe each, bind to the one with the most free memory, ties split at random. The exceptions
