Read the event bus whether or not the module subscribes: drains were never heard

Ruled out: parsing of events (a log of raw bus lines stayed empty: no connection was ever made), the module's eligibility (it had never been told). To blame: Gateway.__init__ left the subscription to the module's Subscribe action, which it only sends where registryMode is 'subscribe'; here it is not.

--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -42,8 +42,9 @@
         self.core = Core(self.driver, self.servers, log)
         for event in told.known:
             self._told(event)
-        if not told.known:
-            self.bus.subscribe(True)
+        # Guards against a module that does not ask: its settings may say that changes come by
+        # themselves, and here they come only to those who read the bus.
+        self.bus.subscribe(True)
         share = Share(budget, max(4, told.sockets * 2 // 3))
         self.owners = Owners(settings, self.core, share, log)
         self.listener = Listener(told.listen, share, self.owners.taken, self.owners.close_idle)
--- a/weldhatch/platform/bus.py
+++ b/weldhatch/platform/bus.py
@@ -96,6 +96,8 @@
                 await self._follow()
             except (OSError, TimeoutError) as error:
                 self._log(f"event bus: no connection: {error or type(error).__name__}")
+            else:
+                self._log("event bus: the connection ended, connecting anew")
             if time.monotonic() - began > 1:
                 again = AGAIN_S
             await asyncio.sleep(again)
