Test the platform's protocol with scenarios; share the set-up form between fronts

A small language (send, expect, close, wait) with stand-in owners, servers and bus. Found by them: owners' share of descriptors could use up the budget that server links need; it now leaves some. Giving an attempt up now tells whether it had left at all: one that waited for its connection never ran. The pull queue's parts are here and not wired yet.

--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,245 @@
+"""A small language for scenarios on loopback sockets: who, then send, expect, close or wait.
+
+    owner send START a1 class=safe          an owner's line; a tag is made of the short name a1
+    s1 expect SET_UP a1 class=safe          the next message of server s1 that is no test
+    s1 send ANSWER a1 | v=0                 what follows the bar is the description
+    s1 close                                reset its connections; `s1 stop`: and refuse new ones
+    s1 hang                                 read no more and say nothing, as a machine that vanished
+    bus send s1=gone                        one event of the bus
+    owner wait closed                       until the gateway has closed that connection
+
+Every `expect` and `wait` waits for its event, and fails after LONG seconds: no scenario guesses at a sleep.
+"""
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+import time
+import unittest
+
+from weldhatch import config
+from weldhatch.__main__ import Gateway
+from weldhatch.platform import binary
+
+LONG = 20.0
+TYPES = {name: getattr(binary, name) for name in
+         ("SET_UP", "PROGRESS", "ANSWER", "RELEASE", "RELEASE_HEARD", "NOTE", "MOVE", "TEST", "TESTED")}
+NAMES = {number: name for name, number in TYPES.items()}
+CODES = {"class": 64, "left": 65, "name": 68, "topic": 71, "report": 73, "figure": 76, "key": 77, "cause": 78}
+SETTINGS = {
+    "classes": [
+        {"name": "safe", "aimUs": 300000, "hardLimitUs": 3000000, "effect": "read_like"},
+        {"name": "keyed", "aimUs": 300000, "hardLimitUs": 3000000, "effect": "idempotency_key",
+         "group": "zone", "dedupWindowUs": 8000000},
+        {"name": "unsafe", "aimUs": 300000, "hardLimitUs": 3000000, "effect": "non_idempotent"}],
+    "kinds": ["std"], "zones": ["east", "west"], "locality": 0, "groupSize": 1, "me": 0,
+    "extra": {"sizeCores": [44], "memOfKind": [106.0], "cpuBooking": 2, "memBooking": 2, "coldSends": 100,
+              "confirms": "accepted", "measuredBy": "asked", "tellsUse": True, "ownerWaitUs": 3000000},
+    "limits": {"mostTries": 3, "probes": True, "mayCancel": True, "retryAfter": True,
+               "maxRetryAfterUs": 3000000, "dialTimeoutUs": 250000},
+    "registryMode": "automatic", "stats": {"fields": ["x0", "x1"], "how": "pull"}, "resolutionUs": 2000,
+    "rules": {"drainGraceUs": 2000000, "answerSlackUs": 8000, "coldUs": 1000000, "fallUs": 1000000}}
+
+
+def tag(name):
+    return name.encode().ljust(8, b"\0")
+
+
+class Party:
+    """One stand-in: what it has received, and the connections it speaks on."""
+
+    def __init__(self):
+        self.heard = asyncio.Queue()
+        self.writers = []
+        self.server = None
+        self.closed = asyncio.Event()
+        self.hung = self.used = False
+
+    async def listen(self, address=("127.0.0.1", 0)):
+        self.server = await asyncio.start_server(self.serve, *address)
+        self.endpoint = self.server.sockets[0].getsockname()
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            await self.read(reader, writer)
+        if writer in self.writers:
+            self.writers.remove(writer)
+        writer.close()
+        self.closed.set()
+
+    def reset(self):
+        for writer in self.writers:
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        self.writers.clear()
+
+
+class Server(Party):
+    """A server on binary messages; tests are answered by themselves with `report`."""
+
+    report = "x0:40;x1:90"
+
+    async def read(self, reader, writer):
+        while True:
+            (length,) = struct.unpack(">H", await reader.readexactly(2))
+            data = await reader.readexactly(length)
+            if self.hung:
+                continue
+            self.used = True
+            kind, name, parameters, at = data[0], data[1:9], {}, 9
+            while at < len(data):
+                code, size = struct.unpack_from(">BH", data, at)
+                parameters[code] = data[at + 3:at + 3 + size]
+                at += 3 + size
+            if kind == binary.TEST:
+                writer.write(binary.encode(binary.TESTED, name, {78: b"\1", 73: self.report.encode()}))
+            else:
+                fields = {word: parameters[code].decode() for word, code in CODES.items()
+                          if code in parameters and code != 78}
+                if 78 in parameters:
+                    fields["cause"] = str(parameters[78][0])
+                self.heard.put_nowait((NAMES[kind], name, fields, parameters.get(79, b"").decode()))
+
+    def send(self, kind, name, fields, description):
+        parameters = {CODES[word]: bytes((int(value),)) if word == "cause" else value.encode()
+                      for word, value in fields.items()}
+        if kind == "ANSWER":
+            parameters[79] = description.encode()
+        self.writers[-1].write(binary.encode(TYPES[kind], tag(name), parameters))
+
+
+class Owner(Party):
+    async def open(self, address):
+        reader, writer = await asyncio.open_connection(*address)
+        self.task = asyncio.create_task(self.serve(reader, writer))
+        await asyncio.sleep(0)
+
+    async def read(self, reader, writer):
+        while line := await reader.readline():
+            m = json.loads(line)
+            fields = {**m["opts"], **({"cause": str(m["rc"])} if "rc" in m else {})}
+            self.heard.put_nowait((m["verb"], bytes.fromhex(m["tag"]), fields, m.get("blob", "")))
+
+    def send(self, kind, name, fields, description):
+        message = {"verb": kind, "tag": tag(name).hex(), "opts": {}}
+        if kind == "START":
+            fields = {"left": "2000", "key": "7", "class": "safe",
+                      "extras": "cores:1;memory:2;service:0000000000000009", **fields}
+            message["blob"] = description
+        if "cause" in fields:
+            message["rc"] = int(fields.pop("cause"))
+        message["opts"] = fields
+        self.writers[-1].write(json.dumps(message).encode() + b"\n")
+
+
+class Bus(Party):
+    async def read(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        after = int(head.lower().split(b"last-event-id:")[1].split()[0])
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n")
+        for event in self.events[after:]:
+            writer.write(self.form(event))
+        while not self.hung:
+            await asyncio.sleep(0.5)
+            writer.write(b":\n\n")
+            await writer.drain()
+        await asyncio.sleep(LONG)
+
+    events = ()
+
+    @staticmethod
+    def form(event):
+        return f"id: {event['offset']}\ndata: {json.dumps(event)}\n\n".encode()
+
+    def add(self, targets, whole=False, tell=True):
+        event = {"offset": len(self.events) + 1,
+                 "topology": {"rev": 1, "all": whole, "targets": targets}}
+        self.events = [*self.events, event]
+        for writer in self.writers if tell and not self.hung else ():
+            writer.write(self.form(event))
+
+
+class Scenario(unittest.IsolatedAsyncioTestCase):
+    """Starts a gateway with stand-ins round it; `play` runs the lines of a scenario."""
+
+    servers = 1
+    settings = SETTINGS
+    sockets = 256
+
+    async def asyncSetUp(self):
+        self.parties, self.logged, self.boots = {}, [], {}
+        self.bus = self.parties["bus"] = Bus()
+        await self.bus.listen()
+        for n in range(1, self.servers + 1):
+            self.parties[f"s{n}"] = server = Server()
+            await server.listen()
+        self.bus.add([self.target(f"s{n}") for n in range(1, self.servers + 1)], whole=True)
+        await self.start()
+
+    async def start(self):
+        """A gateway that starts from nothing, as after a crash."""
+        self.gateway = Gateway(config.Platform(
+            "n0", ("127.0.0.1", 0), 5, self.sockets, self.bus.endpoint, tuple(self.bus.events),
+            config.settings_of_json(self.settings), 0.25, 0.25), self.logged.append)
+
+    def target(self, name, state="ready"):
+        host, port = self.parties[name].endpoint
+        return {"uid": f"u-{name}", "endpoint": f"{host}:{port}", "az": "east", "model": "std",
+                "pod_group": 1, "state": state, "capacity_hint": 1, "boot_ms": self.boots.get(name, 0)}
+
+    async def asyncTearDown(self):
+        self.gateway.abort()
+        for party in self.parties.values():
+            party.reset()
+            if party.server is not None:
+                party.server.close()
+
+    async def play(self, text):
+        for line in filter(None, map(str.strip, text.splitlines())):
+            try:
+                await asyncio.wait_for(self.line(line), LONG)
+            except (TimeoutError, AssertionError) as fault:
+                raise AssertionError(f"{line}: {fault or 'nothing came'}; log: {self.logged}") from None
+
+    async def line(self, line):
+        words, _, description = line.partition(" | ")
+        who, verb, *rest = words.split()
+        if who.startswith("owner") and who not in self.parties:
+            self.parties[who] = Owner()
+            await self.parties[who].open(self.gateway.listener.address)
+        party = self.parties[who]
+        fields = dict(word.split("=", 1) for word in rest if "=" in word)
+        rest = [word for word in rest if "=" not in word]
+        match verb:
+            case "send" if who == "bus":
+                party.add([self.target(name, state) for name, state in fields.items()])
+            case "send":
+                party.send(rest[0], rest[1], fields, description)
+            case "expect":
+                kind, name, got, blob = await party.heard.get()
+                self.assertEqual((rest[0], tag(rest[1])), (kind, name))
+                self.assertEqual(fields, {word: got.get(word) for word in fields})
+                if " | " in line:
+                    self.assertEqual(description, blob)
+            case "close":
+                party.reset()
+            case "stop":
+                party.server.close()
+                party.reset()
+            case "hang":
+                party.hung = True
+            case "wait":
+                await getattr(party, rest[0]).wait()
+            case _:
+                raise ValueError(line)
+
+    async def until(self, condition, what):
+        """Wait for a state of the gateway that no message shows."""
+        end = time.monotonic() + LONG
+        while not condition():
+            self.assertLess(time.monotonic(), end, f"never: {what}; log: {self.logged}")
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,250 @@
+"""Scenarios of the platform's protocol, with stand-in owners, servers and bus."""
+
+import asyncio
+import socket
+import unittest
+
+from scenario import SETTINGS, Owner, Scenario, tag
+
+PLACE = """
+    owner send START a1 | v=0
+    s1 expect SET_UP a1 class=safe name=7 | v=0
+    s1 send ANSWER a1 | v=0 s=9
+    owner expect STARTED a1 | v=0 s=9
+"""
+
+
+class OneServer(Scenario):
+    async def test_a_task_is_placed_and_its_end_relayed(self):
+        await self.play("""
+            owner send ECHO t0 cause=0
+            owner expect ECHOED t0 cause=1
+        """ + PLACE + """
+            s1 send NOTE a1 topic=cores figure=0.5
+            s1 send RELEASE a1 cause=16
+            owner expect FINISH a1 cause=16
+        """)
+        self.assertFalse(self.gateway.core.lives)
+
+    async def test_the_key_goes_out_with_keyed_classes_only(self):
+        await self.play("""
+            owner send START a1 class=keyed idem=5c key=a
+            s1 expect SET_UP a1 key=5c name=a
+            owner send START a2 class=unsafe idem=5c key=b
+            s1 expect SET_UP a2 name=b
+        """)
+
+    async def test_an_owner_ends_its_task_on_another_connection_and_is_owed_no_release(self):
+        await self.play(PLACE + """
+            owner2 send FINISH a1 cause=16
+            s1 expect RELEASE a1 cause=16
+            s1 send RELEASE a1 cause=31
+            owner send START a2
+            s1 expect SET_UP a2
+            s1 send ANSWER a2
+            owner expect STARTED a2
+        """)
+        await self.until(lambda: len(self.gateway.core.lives) == 1, "the ended task was forgotten")
+
+    async def test_a_release_goes_out_on_the_next_connection_where_none_is_open(self):
+        await self.play(PLACE + "owner close")
+        await self.until(lambda: not self.gateway.owners.links, "the owner's connection ended")
+        await self.play("""
+            s1 send RELEASE a1 cause=16
+            owner2 expect FINISH a1 cause=16
+        """)
+
+    async def test_a_set_up_that_its_owner_gives_up_is_given_up_at_the_server(self):
+        for end in ("owner send FINISH a1 cause=16", "owner close"):
+            await self.play(f"""
+                owner send START a1
+                s1 expect SET_UP a1
+                {end}
+                s1 expect RELEASE a1 cause=16
+            """)
+        await self.until(lambda: not self.gateway.core.lives, "the requests were forgotten")
+
+    async def test_a_deadline_gives_the_attempt_up_and_answers_once(self):
+        for name, cause in (("safe", 42), ("unsafe", 47)):
+            await self.play(f"""
+                owner send START a1 left=150 class={name}
+                s1 expect SET_UP a1
+                s1 expect RELEASE a1 cause=16
+                owner expect FINISH a1 cause={cause}
+            """)
+        self.assertTrue(self.parties["owner"].heard.empty())
+
+    async def test_refusals_lead_to_further_attempts_up_to_the_limit_and_then_to_a_refusal(self):
+        tries = "s1 expect SET_UP a1\ns1 send RELEASE a1 cause=34 topic=queue_full\n" * 3
+        await self.play("owner send START a1\n" + tries + "owner expect FINISH a1 cause=42")
+
+    async def test_an_unsafe_task_whose_set_up_broke_is_never_sent_again(self):
+        await self.play("""
+            owner send START a1 class=unsafe
+            s1 expect SET_UP a1
+            s1 send RELEASE a1 cause=41
+            owner expect FINISH a1 cause=47
+        """)
+        self.assertTrue(self.parties["s1"].heard.empty())
+
+    async def test_tasks_of_a_server_that_died_are_released_at_once(self):
+        await self.play(PLACE + """
+            s1 stop
+            owner expect FINISH a1 cause=41
+        """)
+
+    async def test_a_task_stands_on_when_only_its_connection_breaks(self):
+        await self.play(PLACE + "s1 close")
+        await self.until(lambda: self.parties["s1"].writers, "connected anew for the standing task")
+        await self.play("""
+            s1 send RELEASE a1 cause=16
+            owner expect FINISH a1 cause=16
+        """)
+
+    async def test_a_server_that_vanished_is_dropped_and_its_tasks_are_released(self):
+        """Guards against silence: a vanished machine gives no sign, and its tasks must not stand for ever."""
+        await self.play(PLACE + "s1 hang")
+        self.parties["s1"].server.close()
+        await self.play("owner expect FINISH a1 cause=41")
+        self.assertTrue(any("silent" in line for line in self.logged), self.logged)
+
+    async def test_adopted_tasks_are_heard_of_and_may_end_before_they_are_named(self):
+        await self.play("""
+            owner send START a1
+            s1 expect SET_UP a1
+            s1 send RELEASE b2 cause=16
+            s1 send ANSWER a1
+            owner expect STARTED a1
+            owner send START b1 extras=cores:1;memory:1;service:9;at:u-s1
+            owner send START b2 extras=cores:1;memory:1;service:9;at:u-s1
+            owner expect FINISH b2 cause=16
+            s1 send RELEASE b1 cause=41 topic=evicted
+            owner expect FINISH b1 cause=41
+        """)
+
+    async def test_a_dispatcher_that_starts_anew_takes_up_its_tasks_without_a_set_up(self):
+        await self.play(PLACE)
+        self.gateway.abort()
+        await self.start()
+        await self.play("""
+            owner2 send ECHO t0 cause=0
+            owner2 expect ECHOED t0
+            owner2 send START a1 extras=cores:1;memory:1;service:9;at:u-s1
+        """)
+        await self.until(lambda: self.parties["s1"].writers, "a connection is opened to hear of the task")
+        await self.play("""
+            s1 send RELEASE a1 cause=16
+            owner2 expect FINISH a1 cause=16
+        """)
+
+    async def test_lines_that_cannot_be_read_close_their_connection_with_one_log_line(self):
+        bad = (b"{\n", b"[]\n", b'{"verb":"START","tag":"zz","opts":{}}\n', b'{"verb":"HUM","tag":"%s"}\n',
+               b'{"verb":"START","tag":"00000000000000a1","opts":{"class":"none","left":"5"}}\n',
+               b"x" * 17_000)
+        for data in bad:
+            self.logged.clear()
+            self.parties["owner"] = owner = Owner()
+            await owner.open(self.gateway.listener.address)
+            owner.writers[0].write(data)
+            await self.play("owner wait closed")
+            self.assertEqual(1, len(self.logged), (data[:40], self.logged))
+        await self.play("owner2 send ECHO t0 cause=0\nowner2 expect ECHOED t0")
+
+    async def test_a_malformed_message_of_a_server_closes_that_link_alone(self):
+        await self.play("owner send START a1 class=unsafe\ns1 expect SET_UP a1")
+        self.parties["s1"].writers[-1].write(b"\xff\xff" + bytes(20))
+        await self.play("owner expect FINISH a1 cause=47")
+
+    async def test_a_planned_end_answers_all_and_serves_on_for_its_span(self):
+        await self.play("owner send START a1\ns1 expect SET_UP a1")
+        ending = asyncio.create_task(self.gateway.end())
+        await self.play("""
+            owner2 send START a2
+            s1 expect SET_UP a2
+            s1 send ANSWER a2
+            owner2 expect STARTED a2
+            s1 send ANSWER a1
+            owner expect STARTED a1
+        """)
+        await asyncio.wait_for(ending, 5)
+        with self.assertRaises(OSError):
+            await asyncio.open_connection(*self.gateway.listener.address)
+
+
+class Lists(Scenario):
+    servers = 2
+
+    async def test_a_drained_server_gets_nothing_new_though_the_module_never_subscribes(self):
+        """Guards against a bus that is read only where the module asks: it does not where changes come."""
+        self.assertEqual("automatic", SETTINGS["registryMode"])
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        await self.play("bus send s1=draining")
+        await self.until(lambda: self.gateway.fleet.offset == 2, "the event was taken")
+        for n in range(8):
+            await self.play(f"owner send START a{n}\ns2 expect SET_UP a{n}")
+        self.assertTrue(self.parties["s1"].heard.empty())
+
+    async def test_the_bus_is_taken_up_where_it_broke_off(self):
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        self.bus.reset()
+        self.bus.add([self.target("s1", "gone")], tell=False)
+        await self.until(lambda: self.gateway.fleet.offset == 2, "the missed event was taken")
+
+    async def test_a_silent_bus_is_left_for_a_new_connection(self):
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        self.bus.hung = True
+        old = list(self.bus.writers)
+        self.bus.add([self.target("s1", "gone")], tell=False)
+        await self.until(lambda: set(self.bus.writers) - set(old), "a new connection")
+        await self.until(lambda: self.gateway.fleet.offset == 2, "the missed event was taken")
+
+    async def test_an_address_that_passes_to_a_new_server_is_not_mixed_up(self):
+        """Guards against links by address: the old uid's tasks are gone, the new one's are its own."""
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        await self.play("""
+            bus send s2=draining
+        """)
+        await self.until(lambda: self.gateway.fleet.offset == 2, "the drain was taken")
+        await self.play(PLACE)
+        new = {**self.target("s1"), "uid": "u-new"}
+        self.bus.add([self.target("s1", "gone"), new])
+        await self.until(lambda: self.gateway.fleet.offset == 3, "the event was taken")
+        await self.play("""
+            owner send START a2
+            s1 expect SET_UP a2
+        """)
+
+    async def test_tasks_from_before_a_new_start_are_lost(self):
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        await self.play("bus send s2=draining")
+        await self.until(lambda: self.gateway.fleet.offset == 2, "the drain was taken")
+        await self.play(PLACE)
+        self.boots["s1"] = 99_999_999_999_999
+        await self.play("bus send s1=ready\nowner expect FINISH a1 cause=41")
+
+
+class FewDescriptors(Scenario):
+    sockets = 40
+
+    async def test_connections_past_the_budget_wait_for_a_free_descriptor(self):
+        share = self.gateway.owners._share
+        links = []
+        for _ in range(share.most + 4):
+            reader, writer = await asyncio.open_connection(*self.gateway.listener.address)
+            writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            writer.write(b'{"verb":"ECHO","tag":"%s","opts":{},"rc":0}\n' % tag("t").hex().encode())
+            links.append((reader, writer))
+        await self.until(lambda: share.held == share.most, "the budget is used up")
+        last = asyncio.create_task(links[-1][0].readline())
+        await links[0][0].readline()
+        self.assertLessEqual(self.gateway.budget.held, self.gateway.budget.most)
+        self.assertFalse(last.done())
+        for _, writer in links[:5]:
+            writer.close()
+        self.assertIn(b"ECHOED", await asyncio.wait_for(last, 10))
+        for _, writer in links:
+            writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 from weldhatch import config
 from weldhatch.core.driver import Driver
@@ -31,9 +32,9 @@
 class Gateway:
     """The platform's front on the core, from the first byte to the last answer."""
 
-    def __init__(self, told: config.Platform) -> None:
+    def __init__(self, told: config.Platform, log: Callable[[str], None]) -> None:
         settings = told.settings
-        budget = Budget(told.sockets)
+        budget = self.budget = Budget(told.sockets)
         self.driver = Driver(Policy(settings, told.seed), log)
         self.servers = Servers(settings, Share(budget, budget.most), told.dial_s, told.probe_s, log)
         self.fleet = Fleet(settings, self.servers.changed, log)
@@ -45,7 +46,8 @@
         # Guards against a module that does not ask: its settings may say that changes come by
         # themselves, and here they come only to those who read the bus.
         self.bus.subscribe(True)
-        share = Share(budget, max(4, told.sockets * 2 // 3))
+        # Owners keep at most a third of the descriptors; whatever they do, some are left for the servers.
+        share = Share(budget, min(told.sockets // 2, budget.most - 8))
         self.owners = Owners(settings, self.core, share, log)
         self.listener = Listener(told.listen, share, self.owners.taken, self.owners.close_idle)
 
@@ -60,6 +62,12 @@
         while self.core.unanswered:
             await asyncio.sleep(0.01)
         await self.owners.finish_all(FLUSH_S)
+        self.abort()
+
+    def abort(self) -> None:
+        """Give back every socket at once."""
+        self.listener.close()
+        self.owners.close()
         self.bus.close()
         self.servers.close()
 
@@ -70,7 +78,7 @@
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
-    gateway = Gateway(told)
+    gateway = Gateway(told, log)
     log(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
     gc.collect()
     gc.freeze()
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -9,7 +9,8 @@
 from weldhatch import interface as i
 from weldhatch.core.driver import Driver, unix_us
 from weldhatch.core.ports import (
-    CALLED_OFF, GIVEN_UP, Answered, Ended, GivenUp, Noted, Overdue, Owner, Released, Site, Task, TimeUp,
+    CALLED_OFF, GIVEN_UP, Answered, Ended, GivenUp, LetGo, Noted, Overdue, Owner, Released, Site, Task,
+    TimeUp,
 )
 
 OVERDUE_US = 20_000  # the module answers before the deadline; so long after it, the core does
@@ -140,9 +141,11 @@
                         self._ended(machine, number, sent, outcome, reason, report)
                         return False, None
                     case TimeUp(attempt) if attempt == number:
-                        return self._let_go(machine, number, sent, i.Outcome.TIMEOUT)
+                        if self._let_go(machine, number, sent, i.Outcome.TIMEOUT):
+                            return False, None
                     case i.Cancel(_, attempt) if attempt == number:
-                        return self._let_go(machine, number, sent, i.Outcome.CANCELLED)
+                        if self._let_go(machine, number, sent, i.Outcome.CANCELLED):
+                            return False, None
                     case GivenUp():
                         self._driver.post(i.RequestGone(self.id))
                         self._let_go(machine, number, sent, i.Outcome.CANCELLED, closed=True)
@@ -153,11 +156,19 @@
             timer.cancel()
 
     def _let_go(self, machine: int, number: int, sent: int, outcome: i.Outcome,
-                closed: bool = False) -> tuple[bool, None]:
-        """The server is told, and may have run the task all the same."""
-        self._site.give_up(machine, self.task)
+                closed: bool = False) -> bool:
+        """Give the attempt up; whether that ends it.
+
+        One that stays out at its machine still ends here at the owner's deadline, since the owner is owed
+        its answer then, and the module offers nothing after it.
+        """
+        let_go = self._site.give_up(machine, self.task)
+        if let_go is LetGo.STILL_OUT and not closed and unix_us() < self.task.deadline_us:
+            return False
+        if let_go is LetGo.WITHDRAWN:
+            outcome = i.Outcome.CONNECT_FAILED
         self._ended(machine, number, sent, outcome, closed=closed)
-        return False, None
+        return True
 
     def _ended(self, machine: int, number: int, sent: int, outcome: i.Outcome, reason: int = 0,
                report: tuple[float, ...] = (), closed: bool = False) -> None:
--- a/weldhatch/core/ports.py
+++ b/weldhatch/core/ports.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from weldhatch.interface import Action, Event, Outcome
@@ -80,6 +81,14 @@
     cause: int
 
 
+class LetGo(Enum):
+    """What giving an attempt up comes to."""
+
+    WITHDRAWN = "it had not left: nothing ran"
+    GIVEN_UP = "it is over, and may have run"
+    STILL_OUT = "it goes on until its end is told"
+
+
 class Teller(Protocol):
     """A request's coroutine, as the parties outside the core see it."""
 
@@ -102,14 +111,14 @@
 
 
 class Site(Protocol):
-    """The machines. Every offer gets one `Ended`, unless it is given up first."""
+    """The machines. Every offer gets one `Ended`, unless it is given up first and does not stay out."""
 
     def offer(self, machine: int, task: Task, attempt: int, wait_us: int, teller: Teller) -> None: ...
 
     def adopt(self, machine: int, task: Task, teller: Teller) -> None:
         """The task runs there already; its end is told as that of attempt 0."""
 
-    def give_up(self, machine: int, task: Task) -> None: ...
+    def give_up(self, machine: int, task: Task) -> LetGo: ...
 
     def release(self, machine: int, task: Task, cause: int) -> None: ...
 
--- a/weldhatch/interface.py
+++ b/weldhatch/interface.py
@@ -184,6 +184,8 @@
     free_cores: float | None = None
     free_memory: float | None = None
     weight: float = 1.0
+    cores: float = 0.0  # its own size, where it is not that of its kind
+    memory: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/weldhatch/platform/fleet.py
+++ b/weldhatch/platform/fleet.py
@@ -59,7 +59,8 @@
                         if old.machine not in named]
         self.servers.update((server.machine, server) for server in servers)
         self._changed(servers)
-        self._log(f"event bus: event {offset}: " + ", ".join(f"{s.uid} {s.state.name.lower()}" for s in servers))
+        names = ", ".join(f"{server.uid} {server.state.name.lower()}" for server in servers)
+        self._log(f"event bus: event {offset}: {names}")
         form = i.ListForm.CACHED if first and whole else i.ListForm.FULL if whole else i.ListForm.DELTA
         return i.MachinesChanged(form, tuple(machine for _, machine in entries), version)
 
--- a/weldhatch/platform/owners.py
+++ b/weldhatch/platform/owners.py
@@ -18,6 +18,7 @@
 from weldhatch.platform import jsonl
 from weldhatch.platform.fleet import number_of
 from weldhatch.platform.servers import Names
+from weldhatch.setups import FieldError, Form
 
 REFUSED, FAILED = 42, 47  # the causes of the two final answers that are not 'placed'
 IDLE_S = 6.0  # owners close what idles for 4 s; past this we may do it where descriptors run short
@@ -92,9 +93,7 @@
 
     def __init__(self, settings: i.Settings, core: Core, share: Share, log: Callable[[str], None]) -> None:
         self._core, self._share, self._log = core, share, log
-        self._classes = {cls.name: n for n, cls in enumerate(settings.classes)}
-        self._tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
-        self._keyed = {n for n, cls in enumerate(settings.classes) if cls.effect is i.Effect.KEYED}
+        self._form = Form(settings)
         self.links: set[OwnerLink] = set()
         self._asked: dict[str, Asked] = {}
         self._unsent: list[bytes] = []  # releases that no connection was open for
@@ -164,38 +163,20 @@
             if not link.open and now - link.used > IDLE_S:
                 link.connection.close()
 
+    def close(self) -> None:
+        for link in list(self.links):
+            link.connection.close()
+
     async def finish_all(self, within: float) -> None:
         await asyncio.gather(*(link.connection.finish(within) for link in list(self.links)))
 
     def _task(self, line: jsonl.Line) -> tuple[ports.Task, str]:
         """What a set-up asks, and the machine that holds the task already, or ''."""
-        def text(name: str) -> str:
-            value = line.fields.get(name, "")
-            if isinstance(value, bool) or not isinstance(value, str | int | float):
-                raise Malformed(f"a set-up with the unusable field {name!r}")
-            return str(value)
-
         try:
-            field = "extras"
-            extras = dict(part.split(":", 1) for part in text("extras").split(";") if part)
-            field = "class"
-            index = self._classes[text("class")]
-            field = "left"
-            left = float(text("left")) if not extras.get("at") or text("left") else 0.0
-            if not 0 <= left < 1e9:
-                raise ValueError(left)
-            field = "cores"
-            cores = float(extras["cores"])
-            field = "memory"
-            memory = float(extras["memory"])
-            field = "service"
-            service = int(extras.get("service") or "0", 16)
-            field = "key"
-            key = int(text("key") or "0", 16)
-        except (KeyError, ValueError):
-            raise Malformed(f"a set-up with the unusable field {field!r}") from None
-        names = Names(bytes.fromhex(line.tag), text("class"), text("key"),
-                      text("idem") if index in self._keyed else "", line.description or "")
-        return ports.Task(line.tag, index, service, cores, memory, unix_us() + int(left * 1000), key,
-                          self._tenants.get(text("tenant"), 0), bool(text("retry").strip("0")), names), \
-            extras.get("at", "")
+            setup = self._form.read(line.fields)
+        except FieldError as fault:
+            raise Malformed(f"a set-up with an unusable field: {fault}") from None
+        names = Names(bytes.fromhex(line.tag), setup.class_name, setup.name, setup.idem,
+                      line.description or "")
+        return ports.Task(line.tag, setup.class_index, setup.service, setup.cores, setup.memory,
+                          unix_us() + setup.left_us, setup.key, setup.tenant, setup.again, names), setup.at
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -72,8 +72,9 @@
         if self._connecting is None and (self._up is None or self._up.closed):
             self._connecting = asyncio.get_running_loop().create_task(self._live())
 
-    def unsent(self, name: object) -> None:
-        self._pending.pop(name, None)
+    def unsent(self, name: object) -> bool:
+        """Take back what still waits for the connection; whether it did."""
+        return self._pending.pop(name, None) is not None
 
     async def _live(self) -> None:
         """Connect, speak until the connection ends, and settle what was open on it.
@@ -274,13 +275,13 @@
             link.standing[tag] = Held(0, teller, time.time())
             link.open()
 
-    def give_up(self, machine: int, task: ports.Task) -> None:
+    def give_up(self, machine: int, task: ports.Task) -> ports.LetGo:
         link, tag = self._links[machine], task.passed_on.tag
         if link.out.pop(tag, None) is not None:
-            if tag in link._pending:
-                link.unsent(tag)
-            else:
-                link.send((tag, "up"), b.encode(b.RELEASE, tag, {b.CAUSE: bytes((ports.GIVEN_UP,))}))
+            if link.unsent(tag):
+                return ports.LetGo.WITHDRAWN
+            link.send((tag, "up"), b.encode(b.RELEASE, tag, {b.CAUSE: bytes((ports.GIVEN_UP,))}))
+        return ports.LetGo.GIVEN_UP
 
     def release(self, machine: int, task: ports.Task, cause: int) -> None:
         self._links[machine].send((task.passed_on.tag, "end"), b.encode(
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -427,7 +427,8 @@
                 n.restart(LINE)
             n.entry = entry
             if entry.kind < len(self._s.kinds):
-                n.cores, n.memory = self._s.kinds[entry.kind].cores, self._s.kinds[entry.kind].memory
+                kind = self._s.kinds[entry.kind]
+                n.cores, n.memory = entry.cores or kind.cores, entry.memory or kind.memory
             late = self._s.reports_asked and self._now - n.asked.heard <= STALE_US  # a report tells better
             if entry.free_cores is not None and not late:
                 n.asked.hear(self._now, LIST_LAG_US, entry.free_cores, entry.free_memory, n)
--- /dev/null
+++ b/weldhatch/pullqueue/front.py
@@ -0,0 +1,81 @@
+"""The second front as a whole: routes, connections, and its own core on the same policy."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+
+from weldhatch import interface as i
+from weldhatch.core.driver import Driver
+from weldhatch.core.life import Core
+from weldhatch.core.ports import Decider
+from weldhatch.net.budget import Budget, Share
+from weldhatch.net.connection import Connection
+from weldhatch.net.listener import Listener
+from weldhatch.pullqueue.bots import Bots, Timing
+from weldhatch.pullqueue.http import HttpError, HttpLink, Request
+from weldhatch.pullqueue.leases import Ledger
+from weldhatch.pullqueue.tasks import Tasks
+
+PREFIX = "/v1test2/"
+FINISH_S = 0.5
+
+
+class NoDirectory:
+    """Build machines make themselves known; there is no list to ask for."""
+
+    def subscribe(self, on: bool) -> None:
+        pass
+
+
+class PullQueue:
+    """Listens, routes, and ends in an orderly way. Owns its connections."""
+
+    def __init__(self, listen: tuple[str, int], settings: i.Settings, timing: Timing, remember: int,
+                 policy: Decider, budget: Budget, connections: int, log: Callable[[str], None]) -> None:
+        self._log = log
+        self.driver = Driver(policy, log)
+        ledger = Ledger(remember)
+        self.bots = Bots(settings, timing, ledger, self.driver.post, log)
+        self.driver.site, self.driver.directory = self.bots, NoDirectory()
+        self.core = Core(self.driver, self.bots, log)
+        self.tasks = Tasks(settings, self.core, self.bots, ledger, log)
+        self._share = Share(budget, connections)
+        self._links: dict[Connection, asyncio.Task] = {}
+        self.listener = Listener(listen, self._share, self._taken)
+
+    def _taken(self, stream: IOStream, host: str) -> None:
+        connection = Connection(stream, self._share, f"pull queue client {host}", self._log)
+        link = HttpLink(connection, self._route, self._log)
+        task = self._links[connection] = asyncio.get_running_loop().create_task(link.run())
+        task.add_done_callback(lambda _: self._links.pop(connection, None))
+
+    async def _route(self, request: Request) -> tuple[dict, dict[str, str]]:
+        path = request.path.removeprefix(PREFIX)
+        if path == request.path:
+            raise HttpError(404, f"path: it begins with {PREFIX}", "path")
+        match request.method, path.split("/"):
+            case "POST", ["botSessions"]:
+                return await self.bots.create(request), {}
+            case "PATCH", ["botSessions", _]:
+                return await self.bots.update(path, request), {}
+            case "POST", ["tasks"]:
+                return await self.tasks.submit(request)
+            case "GET", ["tasks", _]:
+                return await self.tasks.get(path, request), {}
+            case "DELETE", ["tasks", _]:
+                return self.tasks.delete(path), {}
+            case _, ["botSessions" | "tasks"] | ["botSessions" | "tasks", _]:
+                raise HttpError(405, f"method: {request.method} is not known here", "method")
+        raise HttpError(404, "path: nothing is there", "path")
+
+    async def end(self) -> None:
+        """No more connections; whatever was submitted gets its answer before the end."""
+        self.listener.close()
+        while self.core.unanswered:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)  # the answers' own turns of the loop
+        await asyncio.gather(*(connection.finish(FINISH_S) for connection in list(self._links)))
+        self.bots.close()
--- /dev/null
+++ b/weldhatch/setups.py
@@ -0,0 +1,96 @@
+"""The set-up form that both fronts share: read and checked here; a fault names its field."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from weldhatch import interface as i
+
+
+class FieldError(ValueError):
+    """A set-up that can't be used; `field` says where."""
+
+    def __init__(self, field: str, fault: str) -> None:
+        super().__init__(f"{field}: {fault}")
+        self.field, self.fault = field, fault
+
+
+@dataclass(slots=True, frozen=True)
+class Setup:
+    """What an owner asks, as text for the wire and as figures for the module."""
+
+    class_index: int
+    class_name: str
+    tenant: int
+    left_us: int
+    key: int
+    name: str
+    idem: str
+    cores: float
+    memory: float
+    service: int
+    at: str
+    again: bool
+
+
+class Form:
+    """Reads set-ups under one deployment's classes and tenants."""
+
+    def __init__(self, settings: i.Settings) -> None:
+        self._settings = settings
+        self._classes = {cls.name: n for n, cls in enumerate(settings.classes)}
+        self._tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
+
+    def read(self, fields: Mapping[str, object]) -> Setup:
+        name = _text(fields, "class")
+        if name not in self._classes:
+            raise FieldError("class", f"no class is named {name!r}")
+        index = self._classes[name]
+        extras = {}
+        for part in filter(None, _text(fields, "extras").split(";")):
+            word, sign, value = part.partition(":")
+            if not sign:
+                raise FieldError("extras", f"no ':' in {part!r}")
+            extras[word] = value
+        at = extras.get("at", "")
+        left = 0.0 if at and not _text(fields, "left") else _figure("left", _text(fields, "left"))
+        tenant = _text(fields, "tenant")
+        if tenant and self._tenants and tenant not in self._tenants:
+            raise FieldError("tenant", f"no tenant is named {tenant!r}")
+        keyed = self._settings.classes[index].effect is i.Effect.KEYED
+        return Setup(
+            class_index=index, class_name=name, tenant=self._tenants.get(tenant, 0),
+            left_us=int(left * 1000), key=_hex("key", _text(fields, "key")), name=_text(fields, "key"),
+            idem=_text(fields, "idem") if keyed else "",
+            cores=_figure("extras.cores", extras.get("cores", "")),
+            memory=_figure("extras.memory", extras.get("memory", "")),
+            service=_hex("extras.service", extras.get("service", "")), at=at,
+            again=bool(_text(fields, "retry").strip("0")))
+
+
+def _text(fields: Mapping[str, object], name: str) -> str:
+    value = fields.get(name, "")
+    if isinstance(value, bool) or not isinstance(value, str | int | float):
+        raise FieldError(name, f"the unusable value {value!r}")
+    return str(value)
+
+
+def _figure(field: str, text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e9:  # also false for what is no number at all
+        raise FieldError(field, f"the unusable value {text!r}")
+    return value
+
+
+def _hex(field: str, text: str) -> int:
+    try:
+        value = int(text or "0", 16)
+    except ValueError:
+        value = -1
+    if not 0 <= value < 1 << 64:
+        raise FieldError(field, f"the unusable value {text!r}")
+    return value
