Add the pull queue for build machines: bot sessions and leases over HTTP on the same core

It is off unless deploy/pullqueue.toml enables it. Found on the way: a cancelled lease that its puller no longer lists made every poll answer at once (bots.py, _has_news); only listed ones count as news now.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -7,6 +7,7 @@
     s1 hang                                 read no more and say nothing, as a machine that vanished
     bus send s1=gone                        one event of the bus
     owner wait closed                       until the gateway has closed that connection
+    p1 send POST tasks | {"class": ...}     a request to the pull queue; `expect 200 a.0.b=x` its answer
 
 Every `expect` and `wait` waits for its event, and fails after LONG seconds: no scenario guesses at a sleep.
 """
@@ -163,6 +164,32 @@
             writer.write(self.form(event))
 
 
+class Client(Party):
+    """A client of the pull queue. It remembers the last session, lease and task for $session and so on."""
+
+    def __init__(self):
+        super().__init__()
+        self.seen = {}
+
+    open = Owner.open
+
+    async def read(self, reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            length = int(head.lower().split(b"content-length:")[1].split()[0])
+            body = json.loads(await reader.readexactly(length))
+            for name in [body.get("name", ""), *(lease["id"] for lease in body.get("leases", ()))]:
+                kind = {"botSessions": "session", "tasks": "task", "leases": "lease"}.get(name.split("/")[0])
+                self.seen[kind] = name
+            self.heard.put_nowait((int(head.split()[1]), body))
+
+    def send(self, method, path, fields, body):
+        for name, value in self.seen.items():
+            path, body = path.replace(f"${name}", value), body.replace(f"${name}", value)
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        self.writers[-1].write(f"{method} /v1test2/{path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n"
+                               f"{head}\r\n{body}".encode())
+
+
 class Scenario(unittest.IsolatedAsyncioTestCase):
     """Starts a gateway with stand-ins round it; `play` runs the lines of a scenario."""
 
@@ -171,6 +198,7 @@
     sockets = 256
 
     async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
         self.parties, self.logged, self.boots = {}, [], {}
         self.bus = self.parties["bus"] = Bus()
         await self.bus.listen()
@@ -205,11 +233,13 @@
             except (TimeoutError, AssertionError) as fault:
                 raise AssertionError(f"{line}: {fault or 'nothing came'}; log: {self.logged}") from None
 
+    newcomer = Owner  # what a party is that is named for the first time
+
     async def line(self, line):
         words, _, description = line.partition(" | ")
         who, verb, *rest = words.split()
-        if who.startswith("owner") and who not in self.parties:
-            self.parties[who] = Owner()
+        if who not in self.parties:
+            self.parties[who] = self.newcomer()
             await self.parties[who].open(self.gateway.listener.address)
         party = self.parties[who]
         fields = dict(word.split("=", 1) for word in rest if "=" in word)
@@ -219,6 +249,14 @@
                 party.add([self.target(name, state) for name, state in fields.items()])
             case "send":
                 party.send(rest[0], rest[1], fields, description)
+            case "expect" if isinstance(party, Client):
+                code, body = await party.heard.get()
+                self.assertEqual(int(rest[0]), code, body)
+                for path, value in fields.items():
+                    found = body
+                    for step in path.split("."):
+                        found = found[int(step)] if step.isdigit() else found.get(step)
+                    self.assertEqual(value, str(found), body)
             case "expect":
                 kind, name, got, blob = await party.heard.get()
                 self.assertEqual((rest[0], tag(rest[1])), (kind, name))
--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import os
+import random
 import signal
 import sys
 import time
@@ -20,6 +22,7 @@
 from weldhatch.platform.owners import Owners
 from weldhatch.platform.servers import Servers
 from weldhatch.policy import Policy
+from weldhatch.pullqueue.front import PullQueue
 
 LISTEN_ON_S = 0.7  # after SIGTERM requests keep coming for so long, and are served
 FLUSH_S = 0.5
@@ -72,25 +75,37 @@
         self.servers.close()
 
 
-async def serve() -> None:
-    told = config.platform(os.environ)
+async def serve(pull_file: str) -> None:
+    """The platform's front where its environment is there, and the pull queue where its file says so."""
+    pull = config.pull_queue(config.toml_file(pull_file)) if os.path.exists(pull_file) else None
+    alone = pull is not None and pull.enabled and "PROXY_CONFIG" not in os.environ
+    told = None if alone else config.platform(os.environ)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
-    gateway = Gateway(told, log)
-    log(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
+    fronts = []
+    if told is not None:
+        fronts.append(Gateway(told, log))
+        log(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
+    if pull is not None and pull.enabled:
+        fronts.append(PullQueue(pull, Policy(pull.settings, random.getrandbits(64)), log))
+        log(f"pull queue listens on {pull.listen[0]}:{pull.listen[1]}")
     gc.collect()
     gc.freeze()
     await stop.wait()
     log("told to end")
-    await gateway.end()
+    await asyncio.gather(*(front.end() for front in fronts))
     log("ended")
 
 
 def main() -> int:
+    parser = argparse.ArgumentParser(prog="weldhatch", description="A dispatcher for long-lived tasks.")
+    parser.add_argument("--pullqueue", metavar="FILE", default="deploy/pullqueue.toml",
+                        help="the file of the pull queue (default: %(default)s)")
+    options = parser.parse_args()
     try:
-        asyncio.run(serve())
+        asyncio.run(serve(options.pullqueue))
     except config.ConfigError as fault:
         print(f"weldhatch: {fault}", file=sys.stderr)
         return 2
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 
@@ -284,3 +285,70 @@
     if not isinstance(value, kind):
         raise ConfigError(f"{key} has the unusable value {value!r}")
     return value
+
+
+# ---- the pull queue's file --------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """The spans of the pull queue, in seconds."""
+
+    lease: float  # a lease that is not renewed expires after this; its puller must have stopped by then
+    grace: float  # and counts as stopped so much later
+    session: float  # a session without an update is over after this
+    pickup: float  # an offer that no poll picks up for so long is withdrawn
+    poll: float  # an update is answered after this at the latest
+
+
+@dataclass(slots=True, frozen=True)
+class PullQueueFile:
+    enabled: bool
+    listen: tuple[str, int]
+    connections: int
+    sockets: int
+    remember: int
+    timing: Timing
+    settings: i.Settings
+
+
+PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "connections": 256, "sockets": 1024,
+                 "remember": 100_000}
+TIMING_DEFAULTS = {"lease": 3.0, "grace": 0.5, "session": 15.0, "pickup": 1.0, "poll": 1.0}
+
+
+def pull_queue(tree: Mapping) -> PullQueueFile:
+    """The pull queue's configuration from the tree of its file. A key that is not known is a fault too."""
+    for key in tree:
+        if key not in PULL_DEFAULTS and key not in ("timing", "settings"):
+            raise ConfigError(f"{key} is no key of a pull queue's file")
+    timing = _key(tree, "timing", dict, {})
+    for key in timing:
+        if key not in TIMING_DEFAULTS:
+            raise ConfigError(f"timing.{key} is no key of a pull queue's file")
+    spans = {}
+    for key, default in TIMING_DEFAULTS.items():
+        value = timing.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= 3600:
+            raise ConfigError(f"timing.{key} has the unusable value {value!r}: seconds, over 0, at most 3600")
+        spans[key] = float(value)
+    if spans["poll"] > spans["lease"] / 2:
+        raise ConfigError("timing.poll has an unusable value: at most half of timing.lease")
+    counts = {}
+    for key in ("connections", "sockets", "remember"):
+        value = tree.get(key, PULL_DEFAULTS[key])
+        if isinstance(value, bool) or not isinstance(value, int) or not 8 <= value <= 10_000_000:
+            raise ConfigError(f"{key} has the unusable value {value!r}: a whole number of at least 8")
+        counts[key] = value
+    return PullQueueFile(
+        enabled=_key(tree, "enabled", bool, PULL_DEFAULTS["enabled"]),
+        listen=endpoint("listen", _key(tree, "listen", str, PULL_DEFAULTS["listen"])),
+        **counts, timing=Timing(**spans), settings=settings_of_json(_key(tree, "settings", dict)))
+
+
+def toml_file(path: str) -> dict:
+    try:
+        with open(path, "rb") as file:
+            return tomllib.load(file)
+    except (OSError, ValueError) as fault:
+        raise ConfigError(f"{path}: {fault}") from None
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -14,6 +14,7 @@
 from datetime import UTC, datetime
 
 from weldhatch import interface as i
+from weldhatch.config import Timing
 from weldhatch.core import ports
 from weldhatch.core.ports import LetGo
 from weldhatch.pullqueue.http import HttpError, Request
@@ -31,17 +32,6 @@
 RAN_WELL = 0
 
 
-@dataclass(slots=True, frozen=True)
-class Timing:
-    """The spans of the pull queue, in seconds."""
-
-    lease_s: float  # a lease that is not renewed expires after this; its puller must have stopped by then
-    grace_s: float  # and counts as stopped so much later
-    session_s: float  # a session without an update is over after this
-    pickup_s: float  # an offer that no poll picks up for so long is withdrawn
-    poll_s: float  # an update is answered after this at the latest
-
-
 @dataclass(slots=True)
 class Listed:
     """One lease as a puller lists it."""
@@ -127,9 +117,9 @@
 
     async def _update(self, bot: Bot, state: i.MachineState, listed: list[Listed], request: Request) -> dict:
         """Take the report, wait for something to say, and say it."""
-        wait = request.seconds("x-server-timeout", self.timing.poll_s)
+        wait = request.seconds("x-server-timeout", self.timing.poll)
         bot.heard, bot.poll = time.time(), bot.poll + 1
-        bot.expires = bot.heard + self.timing.session_s
+        bot.expires = bot.heard + self.timing.session
         session, poll = bot.session, bot.poll
         bot.news.set()  # an older update of this session that still waits is answered, and gets nothing
         bot.news = asyncio.Event()
@@ -140,7 +130,8 @@
         if state != i.MachineState.READY or to_end:
             wait = 0.0
         end = time.monotonic() + wait
-        while not self._has_news(bot) and (left := end - time.monotonic()) > 0:
+        known = {one.id for one in listed}
+        while not self._has_news(bot, known) and (left := end - time.monotonic()) > 0:
             try:
                 await asyncio.wait_for(bot.news.wait(), left)
             except TimeoutError:
@@ -149,7 +140,6 @@
                 raise HttpError(409, "name: a later update of this machine has come", "name")
             bot.news.clear()
         leases = [{"id": id, "state": "CANCELLED"} for id in to_end]
-        known = {one.id for one in listed}
         leases += [self._shown(lease) for lease in bot.leases.values()
                    if lease.id in known and lease.phase in (Phase.PENDING, Phase.ACTIVE, Phase.CANCELLED)]
         if not to_end and state == i.MachineState.READY and not request.closed():
@@ -157,8 +147,10 @@
         return {"name": bot.session, "botId": bot.id, "status": "OK", "leases": leases,
                 "expireTime": _rfc3339(bot.expires)}
 
-    def _has_news(self, bot: Bot) -> bool:
-        return any(lease.phase in (Phase.WAITING, Phase.CANCELLED) for lease in bot.leases.values())
+    def _has_news(self, bot: Bot, known: set[str]) -> bool:
+        """A lease to hand out, or one to stop that the puller holds."""
+        return any(lease.phase is Phase.WAITING or (lease.phase is Phase.CANCELLED and lease.id in known)
+                   for lease in bot.leases.values())
 
     def _hand_out(self, bot: Bot) -> list[dict]:
         """The leases that wait for this machine leave the gateway here, and only here."""
@@ -169,7 +161,7 @@
             size += 512 + 2 * len(lease.task.passed_on[1])
             if out and size > REPLY_MOST:
                 break
-            lease.phase, lease.expires = Phase.PENDING, time.time() + self.timing.lease_s
+            lease.phase, lease.expires = Phase.PENDING, time.time() + self.timing.lease
             self._ledger.handed(lease, self._settings.classes[lease.task.class_index])
             out.append({**self._shown(lease), "payload": self._payload(lease)})
         return out
@@ -202,7 +194,7 @@
                 # be on its way elsewhere as soon as the grace is over.
                 lease.phase = Phase.CANCELLED
             elif one.state == "ACTIVE":
-                lease.expires = now + self.timing.lease_s
+                lease.expires = now + self.timing.lease
                 if lease.phase is Phase.PENDING:
                     lease.phase = Phase.ACTIVE
                     lease.teller.tell(ports.Answered(lease.attempt, bot.id))
@@ -241,7 +233,7 @@
                     if lease.phase is Phase.WAITING:
                         if now >= lease.expires:
                             self._end(lease, i.Outcome.CONNECT_FAILED)
-                    elif now >= lease.expires + self.timing.grace_s:
+                    elif now >= lease.expires + self.timing.grace:
                         self._log(f"bot {bot.id}: lease {lease.id} has run out, {lease.phase.value}")
                         self._end(lease, i.Outcome.RESET)
                 if bot.session and now >= bot.expires:
@@ -264,7 +256,7 @@
             teller.tell(ports.Ended(attempt, i.Outcome.NOT_SENT))
             return
         lease = Lease(self._name("leases"), machine, task, attempt, teller)
-        lease.expires = time.time() + min(self.timing.pickup_s, wait_us / 1e6)
+        lease.expires = time.time() + min(self.timing.pickup, wait_us / 1e6)
         bot.leases[lease.id] = lease
         bot.news.set()
 
@@ -295,7 +287,7 @@
         bot = self._machines.get(machine)
         if bot is None or not bot.session:
             done(i.Outcome.CONNECT_FAILED, ())
-        elif time.time() - bot.heard > self.timing.poll_s + self.timing.pickup_s:
+        elif time.time() - bot.heard > self.timing.poll + self.timing.pickup:
             done(i.Outcome.TIMEOUT, ())
         else:
             free = {"x0": bot.cores - sum(lease.task.cores for lease in bot.leases.values()),
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -7,14 +7,14 @@
 
 from tornado.iostream import IOStream
 
-from weldhatch import interface as i
+from weldhatch.config import PullQueueFile
 from weldhatch.core.driver import Driver
 from weldhatch.core.life import Core
 from weldhatch.core.ports import Decider
 from weldhatch.net.budget import Budget, Share
 from weldhatch.net.connection import Connection
 from weldhatch.net.listener import Listener
-from weldhatch.pullqueue.bots import Bots, Timing
+from weldhatch.pullqueue.bots import Bots
 from weldhatch.pullqueue.http import HttpError, HttpLink, Request
 from weldhatch.pullqueue.leases import Ledger
 from weldhatch.pullqueue.tasks import Tasks
@@ -33,18 +33,17 @@
 class PullQueue:
     """Listens, routes, and ends in an orderly way. Owns its connections."""
 
-    def __init__(self, listen: tuple[str, int], settings: i.Settings, timing: Timing, remember: int,
-                 policy: Decider, budget: Budget, connections: int, log: Callable[[str], None]) -> None:
-        self._log = log
+    def __init__(self, told: PullQueueFile, policy: Decider, log: Callable[[str], None]) -> None:
+        self._log, settings = log, told.settings
         self.driver = Driver(policy, log)
-        ledger = Ledger(remember)
-        self.bots = Bots(settings, timing, ledger, self.driver.post, log)
+        ledger = Ledger(told.remember)
+        self.bots = Bots(settings, told.timing, ledger, self.driver.post, log)
         self.driver.site, self.driver.directory = self.bots, NoDirectory()
         self.core = Core(self.driver, self.bots, log)
         self.tasks = Tasks(settings, self.core, self.bots, ledger, log)
-        self._share = Share(budget, connections)
+        self._share = Share(Budget(told.sockets), told.connections)
         self._links: dict[Connection, asyncio.Task] = {}
-        self.listener = Listener(listen, self._share, self._taken)
+        self.listener = Listener(told.listen, self._share, self._taken)
 
     def _taken(self, stream: IOStream, host: str) -> None:
         connection = Connection(stream, self._share, f"pull queue client {host}", self._log)
@@ -78,4 +77,11 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)  # the answers' own turns of the loop
         await asyncio.gather(*(connection.finish(FINISH_S) for connection in list(self._links)))
+        self.abort()
+
+    def abort(self) -> None:
+        """Give back every socket at once."""
+        self.listener.close()
+        for connection in list(self._links):
+            connection.close()
         self.bots.close()
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -119,7 +119,7 @@
             case Refusal.SPENT:
                 return {"answer": "failed", "reason": Refusal.SPENT.value}, {}
             case Refusal.IN_DOUBT:
-                wait = max(0.0, self._ledger.doubt_ends(key) + self._bots.timing.grace_s - time.time())
+                wait = max(0.0, self._ledger.doubt_ends(key) + self._bots.timing.grace - time.time())
                 ms = math.ceil(wait * 1000) + 100
                 return ({"answer": "refused", "reason": Refusal.IN_DOUBT.value, "waitMs": ms},
                         {"Retry-After": str(math.ceil(ms / 1000))})
@@ -129,7 +129,7 @@
 
     async def get(self, name: str, request: Request) -> dict:
         asked = self._find(name)
-        wait = request.seconds("x-server-timeout", self._bots.timing.poll_s)
+        wait = request.seconds("x-server-timeout", self._bots.timing.poll)
         if wait and not asked.over.is_set():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(asked.over.wait(), wait)
