Add plan and apply for the pull queue's configuration, and a ledger kept over restarts

plan shows and writes what a file would change; apply refuses a plan whose base has moved on and applies wholly or not at all; keys that need a restart say so, and such a plan starts the gateway anew after its planned end. A task that must never start twice is written to the ledger file before it is handed out; after a start nothing goes out until leases of a former gateway have run out (timing.settle).

--- a/tests/test_pullqueue.py
+++ b/tests/test_pullqueue.py
@@ -4,6 +4,7 @@
 import copy
 import json
 import random
+import tempfile
 import time
 import unittest
 from dataclasses import dataclass
@@ -14,10 +15,12 @@
 from scenario import LONG, SETTINGS, Client, Scenario
 
 from weldhatch import config
+from weldhatch.core import ports
 from weldhatch.policy import Policy
 from weldhatch.pullqueue.front import PullQueue
+from weldhatch.pullqueue.leases import Lease, Ledger, Refusal
 
-TIMING = {"lease": 0.6, "grace": 0.2, "session": 1.5, "pickup": 0.4, "poll": 0.3}
+TIMING = {"lease": 0.6, "grace": 0.2, "session": 1.5, "pickup": 0.4, "poll": 0.3, "settle": 0}
 
 
 def bot(name, hall="east", **more):
@@ -368,7 +371,8 @@
 
 
 class ThousandRuns(PullScenario):
-    timing: ClassVar = {"lease": 0.3, "grace": 0.1, "session": 0.8, "pickup": 0.12, "poll": 0.1}
+    timing: ClassVar = {"lease": 0.3, "grace": 0.1, "session": 0.8, "pickup": 0.12, "poll": 0.1,
+                        "settle": 0}
 
     async def test_pullers_killed_mid_task_never_have_two_attempts_out_together(self):
         rnd, runs, answers = random.Random(11), [], {"placed": 0, "refused": 0, "failed": 0}
@@ -411,7 +415,33 @@
         self.assertFalse([line for line in self.logged if "fault" in line or "failed on" in line])
 
 
+class Restarts(PullScenario):
+    timing: ClassVar = {**TIMING, "settle": 30}
+
+    async def test_nothing_goes_out_while_leases_of_a_former_gateway_may_still_run(self):
+        await self.play(f"""
+            p1 send POST botSessions | {bot("b1")}
+            p1 expect 200
+            p1 send PATCH $session X-Server-Timeout=9 | {{}}
+            c1 send POST tasks | {task()}
+            c1 expect 200 answer=refused
+            p1 expect 200 leases=[]
+        """)
+
+
 class Judge(unittest.TestCase):
+    def test_a_key_handed_out_once_is_known_after_a_restart(self):
+        cls = config.settings_of_json(SETTINGS).classes[2]
+        with tempfile.TemporaryDirectory() as folder:
+            for expected in (None, Refusal.SPENT):
+                ledger = Ledger(100, f"{folder}/ledger")
+                ledger.open()
+                self.assertEqual(expected, ledger.refusal(0xAB, cls))
+                if expected is None:
+                    handed = ports.Task("t", 2, 1, 1.0, 1.0, 0, key=0xAB)
+                    ledger.handed(Lease("leases/1", 1, handed, 0, None), cls)
+                ledger.close()
+
     def test_the_judge_sees_overlaps_and_second_starts(self):
         twice = [Run("a", "safe", "east", 1.0, 3.0), Run("a", "safe", "west", 2.0, 4.0)]
         again = [Run("b", "unsafe", "east", 1.0, 2.0), Run("b", "unsafe", "east", 3.0, 4.0)]
--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -5,14 +5,16 @@
 import argparse
 import asyncio
 import gc
+import json
 import os
 import random
 import signal
 import sys
+import tempfile
 import time
 from collections.abc import Callable
 
-from weldhatch import config
+from weldhatch import config, plans
 from weldhatch.core.driver import Driver
 from weldhatch.core.life import Core
 from weldhatch.net.budget import Budget, Share
@@ -22,10 +24,12 @@
 from weldhatch.platform.owners import Owners
 from weldhatch.platform.servers import Servers
 from weldhatch.policy import Policy
+from weldhatch.pullqueue.control import Control
 from weldhatch.pullqueue.front import PullQueue
 
 LISTEN_ON_S = 0.7  # after SIGTERM requests keep coming for so long, and are served
 FLUSH_S = 0.5
+ANSWER_S = 0.2  # a plan that asks for a restart is answered before it
 
 
 def log(text: str) -> None:
@@ -75,38 +79,94 @@
         self.servers.close()
 
 
-async def serve(pull_file: str) -> None:
-    """The platform's front where its environment is there, and the pull queue where its file says so."""
-    pull = config.pull_queue(config.toml_file(pull_file)) if os.path.exists(pull_file) else None
-    alone = pull is not None and pull.enabled and "PROXY_CONFIG" not in os.environ
-    told = None if alone else config.platform(os.environ)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
+class Running:
+    """The fronts of this process, from their start to their planned end."""
+
+    def __init__(self, pull_file: str) -> None:
+        tree = config.pull_queue_tree(pull_file) if os.path.exists(pull_file) else {}
+        pull = config.pull_queue(tree) if tree else None
+        self.stop, self.next_tree, self.fronts = asyncio.Event(), None, []
+        if "PROXY_CONFIG" in os.environ or pull is None or not pull.enabled:
+            told = config.platform(os.environ)
+            self.fronts.append(Gateway(told, log))
+            log(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
+        if pull is not None and pull.enabled:
+            front = PullQueue(pull, Policy(pull.settings, random.getrandbits(64)), log)
+            self.fronts.append(front)
+            log(f"pull queue listens on {pull.listen[0]}:{pull.listen[1]}")
+            if pull.control is not None:
+                self.fronts.append(Control(tree, pull.control, front, self.restart, log))
+
+    def restart(self, tree: dict) -> None:
+        self.next_tree = tree
+        asyncio.get_running_loop().call_later(ANSWER_S, self.stop.set)
+
+    async def end(self) -> None:
+        await asyncio.gather(*(front.end() for front in self.fronts))
+
+
+async def serve(pull_file: str) -> dict | None:
+    """Serve until told to end; the configuration to start anew with, where a plan asked for that."""
+    running = Running(pull_file)
     for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
-    fronts = []
-    if told is not None:
-        fronts.append(Gateway(told, log))
-        log(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
-    if pull is not None and pull.enabled:
-        fronts.append(PullQueue(pull, Policy(pull.settings, random.getrandbits(64)), log))
-        log(f"pull queue listens on {pull.listen[0]}:{pull.listen[1]}")
+        asyncio.get_running_loop().add_signal_handler(name, running.stop.set)
     gc.collect()
     gc.freeze()
-    await stop.wait()
+    await running.stop.wait()
     log("told to end")
-    await asyncio.gather(*(front.end() for front in fronts))
+    await running.end()
     log("ended")
+    return running.next_tree
+
+
+def run(options: argparse.Namespace) -> None:
+    tree = asyncio.run(serve(options.pullqueue))
+    if tree is not None:
+        folder = tempfile.mkdtemp(prefix="weldhatch-")
+        path = os.path.join(folder, "applied.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(tree, file)
+        os.execv(sys.executable, [sys.executable, "-m", "weldhatch", "--pullqueue", path])
+
+
+def plan(options: argparse.Namespace) -> None:
+    target = config.pull_queue_tree(options.file)
+    config.pull_queue(target)
+    made = plans.make(plans.Gateway(plans.address(target, options.control)).applied(), target)
+    print(plans.render(made))
+    out = options.out or f"{options.file}.plan"
+    with open(out, "w", encoding="utf-8") as file:
+        json.dump(made, file, indent=1)
+    print(f"The plan is in {out}.")
+
+
+def apply(options: argparse.Namespace) -> None:
+    made = plans.read(options.plan)
+    told = plans.Gateway(plans.address(made["target"], options.control)).apply(made)
+    then = "; the gateway starts anew." if told["restarting"] else "."
+    print(f"{told['applied']} changes applied{then}")
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="weldhatch", description="A dispatcher for long-lived tasks.")
     parser.add_argument("--pullqueue", metavar="FILE", default="deploy/pullqueue.toml",
                         help="the file of the pull queue (default: %(default)s)")
+    parser.set_defaults(call=run)
+    commands = parser.add_subparsers(title="commands (without one, it serves)")
+    planning = commands.add_parser("plan", help="show and write what a file would change")
+    planning.add_argument("file", metavar="FILE")
+    planning.add_argument("--out", metavar="PLAN", help="where the plan goes (default: FILE.plan)")
+    planning.set_defaults(call=plan)
+    applying = commands.add_parser("apply", help="carry out a plan")
+    applying.add_argument("plan", metavar="PLAN")
+    applying.set_defaults(call=apply)
+    for command in (planning, applying):
+        command.add_argument("--control", metavar="HOST:PORT",
+                             help="the running gateway's control address (default: what the file says)")
     options = parser.parse_args()
     try:
-        asyncio.run(serve(options.pullqueue))
-    except config.ConfigError as fault:
+        options.call(options)
+    except (config.ConfigError, OSError) as fault:
         print(f"weldhatch: {fault}", file=sys.stderr)
         return 2
     return 0
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -255,7 +255,8 @@
         raise ConfigError(f"limits.sockets has the unusable value {sockets!r}")
     return Platform(
         name=environment.get("PROXY_NAME") or _key(tree, "name", str, "weldhatch"),
-        listen=endpoint("PROXY_LISTEN", environment.get("PROXY_LISTEN") or _key(tree, "listen", str)),
+        listen=endpoint("PROXY_LISTEN", environment["PROXY_LISTEN"]) if environment.get("PROXY_LISTEN")
+        else endpoint("listen", _key(tree, "listen", str)),
         seed=number, sockets=sockets, bus=endpoint("bus", _key(tree, "bus", str)),
         known=tuple(batch), settings=settings, dial_s=dial_s, probe_s=dial_s)
 
@@ -299,12 +300,15 @@
     session: float  # a session without an update is over after this
     pickup: float  # an offer that no poll picks up for so long is withdrawn
     poll: float  # an update is answered after this at the latest
+    settle: float  # nothing goes out for so long after a start: leases of a former gateway may still run
 
 
 @dataclass(slots=True, frozen=True)
 class PullQueueFile:
     enabled: bool
     listen: tuple[str, int]
+    control: tuple[str, int] | None
+    ledger: str
     connections: int
     sockets: int
     remember: int
@@ -312,9 +316,15 @@
     settings: i.Settings
 
 
-PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "connections": 256, "sockets": 1024,
-                 "remember": 100_000}
-TIMING_DEFAULTS = {"lease": 3.0, "grace": 0.5, "session": 15.0, "pickup": 1.0, "poll": 1.0}
+PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "control": "", "ledger": "",
+                 "connections": 256, "sockets": 1024, "remember": 100_000}
+TIMING_DEFAULTS = {"lease": 3.0, "grace": 0.5, "session": 15.0, "pickup": 1.0, "poll": 1.0, "settle": 3.5}
+
+
+def pull_leaves(tree: Mapping) -> dict[str, str]:
+    """A pull queue's file as its keys and values, defaults filled in: what two files can be compared by."""
+    whole = {**PULL_DEFAULTS, **tree, "timing": {**TIMING_DEFAULTS, **tree.get("timing", {})}}
+    return dict(_flat("", whole))
 
 
 def pull_queue(tree: Mapping) -> PullQueueFile:
@@ -329,8 +339,9 @@
     spans = {}
     for key, default in TIMING_DEFAULTS.items():
         value = timing.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= 3600:
-            raise ConfigError(f"timing.{key} has the unusable value {value!r}: seconds, over 0, at most 3600")
+        least = 0 if key == "settle" else 0.001
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= 3600:
+            raise ConfigError(f"timing.{key} has the unusable value {value!r}: {least} to 3600 seconds")
         spans[key] = float(value)
     if spans["poll"] > spans["lease"] / 2:
         raise ConfigError("timing.poll has an unusable value: at most half of timing.lease")
@@ -340,12 +351,22 @@
         if isinstance(value, bool) or not isinstance(value, int) or not 8 <= value <= 10_000_000:
             raise ConfigError(f"{key} has the unusable value {value!r}: a whole number of at least 8")
         counts[key] = value
+    control = _key(tree, "control", str, PULL_DEFAULTS["control"])
+    if control and not control.startswith("127."):
+        raise ConfigError(f"control has the unusable value {control!r}: a loopback address is needed")
     return PullQueueFile(
+        control=endpoint("control", control) if control else None,
+        ledger=_key(tree, "ledger", str, PULL_DEFAULTS["ledger"]),
         enabled=_key(tree, "enabled", bool, PULL_DEFAULTS["enabled"]),
         listen=endpoint("listen", _key(tree, "listen", str, PULL_DEFAULTS["listen"])),
         **counts, timing=Timing(**spans), settings=settings_of_json(_key(tree, "settings", dict)))
 
 
+def pull_queue_tree(path: str) -> dict:
+    """The file as a tree: TOML, or JSON where a restart left it so."""
+    return json_file(path) if path.endswith(".json") else toml_file(path)
+
+
 def toml_file(path: str) -> dict:
     try:
         with open(path, "rb") as file:
--- /dev/null
+++ b/weldhatch/plans.py
@@ -0,0 +1,101 @@
+"""Plan and apply: what would change between a pull queue's file and a running gateway, and the change.
+
+A plan names the configuration it was made against by its fingerprint. A gateway whose configuration has
+moved on since then refuses it, and one that takes it applies it wholly or not at all.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import http.client
+import json
+from collections.abc import Mapping
+
+from weldhatch import config
+
+VERSION = 1
+LIVE = ("listen", "connections", "remember", "timing.")  # all other keys need a restart
+
+
+def fingerprint(tree: Mapping) -> str:
+    leaves = json.dumps(config.pull_leaves(tree), sort_keys=True)
+    return hashlib.sha256(leaves.encode()).hexdigest()
+
+
+def needs_restart(key: str) -> bool:
+    return not any(key == live or (live.endswith(".") and key.startswith(live)) for live in LIVE)
+
+
+def changes(old: Mapping, new: Mapping) -> list[dict]:
+    """The keys that differ, each with its old and its new value; null where it is not there."""
+    before, after = config.pull_leaves(old), config.pull_leaves(new)
+    return [{"key": key, "from": before.get(key), "to": after.get(key), "restart": needs_restart(key)}
+            for key in sorted(before.keys() | after.keys()) if before.get(key) != after.get(key)]
+
+
+def make(applied: Mapping, target: dict) -> dict:
+    """The plan that turns what is applied into the target."""
+    config.pull_queue(target)
+    return {"version": VERSION, "base": fingerprint(applied), "target": target,
+            "changes": changes(applied, target)}
+
+
+def render(plan: Mapping) -> str:
+    """The plan as a person reads it."""
+    if not plan["changes"]:
+        return "No changes: the gateway runs what the file says."
+    lines = []
+    for change in plan["changes"]:
+        old, new = change["from"], change["to"]
+        sign = "+" if old is None else "-" if new is None else "~"
+        values = " -> ".join(json.dumps(value) for value in (old, new) if value is not None)
+        note = "  (needs a restart)" if change["restart"] else ""
+        lines.append(f"{sign} {change['key']}: {values}{note}")
+    restart = sum(change["restart"] for change in plan["changes"])
+    lines.append(f"{len(plan['changes'])} changes, {restart} of them need a restart.")
+    return "\n".join(lines)
+
+
+def read(path: str) -> dict:
+    plan = config.json_file(path)
+    if plan.get("version") != VERSION or not isinstance(plan.get("target"), dict) or "base" not in plan:
+        raise config.ConfigError(f"{path}: version: this is no plan of version {VERSION}")
+    return plan
+
+
+# ---- the running gateway, as the command line reaches it ---------------------------------------------------
+
+
+class Gateway:
+    """A running gateway's control address."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
+
+    def applied(self) -> dict:
+        return self._call("GET", "applied", None)["tree"]
+
+    def apply(self, plan: Mapping) -> dict:
+        return self._call("POST", "apply", plan)
+
+    def _call(self, method: str, path: str, body: Mapping | None) -> dict:
+        host, port = self._address
+        connection = http.client.HTTPConnection(host, port, timeout=10)
+        try:
+            connection.request(method, f"/v1/{path}", json.dumps(body) if body is not None else None)
+            answer = connection.getresponse()
+            tree = json.loads(answer.read())
+        except (OSError, ValueError, http.client.HTTPException) as fault:
+            raise config.ConfigError(f"control: no gateway answers at {host}:{port}: {fault}") from None
+        finally:
+            connection.close()
+        if answer.status != 200:
+            raise config.ConfigError(tree.get("error", {}).get("message", f"status {answer.status}"))
+        return tree
+
+
+def address(tree: Mapping, override: str | None) -> tuple[str, int]:
+    text = override or tree.get("control") or config.PULL_DEFAULTS["control"]
+    if not text:
+        raise config.ConfigError("control is missing: it says where the running gateway is reached")
+    return config.endpoint("control", text)
--- /dev/null
+++ b/weldhatch/pullqueue/control.py
@@ -0,0 +1,88 @@
+"""The control address of a running gateway: what is applied, and the carrying out of plans."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+
+from weldhatch import config, plans
+from weldhatch.net.budget import Budget, Share
+from weldhatch.net.connection import Connection
+from weldhatch.net.listener import Listener
+from weldhatch.pullqueue.front import PullQueue
+from weldhatch.pullqueue.http import HttpError, HttpLink, Request
+
+CONNECTIONS = 8
+
+
+class Control:
+    """Holds the applied configuration. `restart` is called with a tree that only a new start can apply."""
+
+    def __init__(self, tree: dict, address: tuple[str, int], front: PullQueue,
+                 restart: Callable[[dict], None], log: Callable[[str], None]) -> None:
+        self._tree, self._front, self._restart, self._log = tree, front, restart, log
+        self._share = Share(Budget(64), CONNECTIONS)
+        self._links: dict[Connection, asyncio.Task] = {}
+        self.listener = Listener(address, self._share, self._taken)
+
+    def _taken(self, stream: IOStream, host: str) -> None:
+        connection = Connection(stream, self._share, f"control client {host}", self._log)
+        task = asyncio.get_running_loop().create_task(HttpLink(connection, self._route, self._log).run())
+        self._links[connection] = task
+        task.add_done_callback(lambda _: self._links.pop(connection, None))
+
+    async def _route(self, request: Request) -> tuple[dict, dict[str, str]]:
+        match request.method, request.path:
+            case "GET", "/v1/applied":
+                return {"tree": self._tree, "fingerprint": plans.fingerprint(self._tree)}, {}
+            case "POST", "/v1/apply":
+                return self._apply(request.json()), {}
+        raise HttpError(404, "path: nothing is there", "path")
+
+    def _apply(self, plan: dict) -> dict:
+        """One plan, wholly or not at all."""
+        target = plan.get("target")
+        if not isinstance(target, dict):
+            raise HttpError(400, "target: a configuration is needed", "target")
+        if plan.get("base") != plans.fingerprint(self._tree):
+            raise HttpError(409, "base: the applied configuration has moved on; make a new plan", "base")
+        try:
+            told = config.pull_queue(target)
+        except config.ConfigError as fault:
+            raise HttpError(400, str(fault), str(fault).split(" ")[0]) from None
+        if not told.enabled:
+            raise HttpError(400, "enabled: a gateway is ended by SIGTERM, not by a plan", "enabled")
+        todo = plans.changes(self._tree, target)
+        try:
+            if any(change["restart"] for change in todo):
+                self._try_addresses(told)
+                self._restart(target)
+            else:
+                self._front.reconfigure(told)
+        except OSError as fault:
+            raise HttpError(409, f"listen: {fault}; nothing was changed", "listen") from None
+        self._tree = target
+        self._log(f"applied a plan of {len(todo)} changes")
+        return {"applied": len(todo), "restarting": any(change["restart"] for change in todo)}
+
+    def _try_addresses(self, told: config.PullQueueFile) -> None:
+        """A restart that could not listen again would leave nothing running: it is tried first."""
+        now = config.pull_queue(self._tree)
+        for address, held in ((told.listen, now.listen), (told.control, now.control)):
+            if address is not None and address not in (now.listen, now.control) and address != held:
+                with socket.socket() as trial:
+                    trial.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    trial.bind(address)
+
+    async def end(self) -> None:
+        for connection in list(self._links):
+            await connection.finish(0.5)
+        self.abort()
+
+    def abort(self) -> None:
+        self.listener.close()
+        for connection in list(self._links):
+            connection.close()
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -34,9 +34,10 @@
     """Listens, routes, and ends in an orderly way. Owns its connections."""
 
     def __init__(self, told: PullQueueFile, policy: Decider, log: Callable[[str], None]) -> None:
-        self._log, settings = log, told.settings
+        self._log, self._told, settings = log, told, told.settings
         self.driver = Driver(policy, log)
-        ledger = Ledger(told.remember)
+        ledger = self._ledger = Ledger(told.remember, told.ledger)
+        ledger.open()
         self.bots = Bots(settings, told.timing, ledger, self.driver.post, log)
         self.driver.site, self.driver.directory = self.bots, NoDirectory()
         self.core = Core(self.driver, self.bots, log)
@@ -85,3 +86,14 @@
         for connection in list(self._links):
             connection.close()
         self.bots.close()
+        self._ledger.close()
+
+    def reconfigure(self, told: PullQueueFile) -> None:
+        """Take over all that can change while it runs. What can fail comes first: wholly or not at all."""
+        listener = self.listener
+        if told.listen != self._told.listen:
+            listener = Listener(told.listen, self._share, self._taken)
+            self.listener.close()
+        self.listener, self._told = listener, told
+        self.bots.timing, self._ledger.remember, self._share.most = (
+            told.timing, told.remember, told.connections)
--- a/weldhatch/pullqueue/leases.py
+++ b/weldhatch/pullqueue/leases.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable
+import os
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TextIO
 
 from weldhatch.core import ports
 from weldhatch.interface import Effect, RequestClass
@@ -46,10 +46,23 @@
     """Keys of tasks. A task without a key is its own."""
 
     remember: int
-    clock: Callable[[], float] = time.time
+    path: str = ""  # where keys that may not start twice are kept over a restart; '' for nowhere
     _asked: set[int] = field(default_factory=set)  # a request is under way, or the task stands
     _out: dict[int, Lease] = field(default_factory=dict)  # leases that were handed out and are not over
     _spent: set[int] = field(default_factory=set)  # handed out once, of a class that may not start twice
+    _file: TextIO | None = None
+
+    def open(self) -> None:
+        """Read what a former gateway handed out, and keep the file open for more."""
+        if self.path:
+            self._file = open(self.path, "a+", encoding="ascii")  # noqa: SIM115
+            self._file.seek(0)
+            self._spent.update(int(line, 16) for line in self._file.read().split())
+
+    def close(self) -> None:
+        if self._file is not None:
+            self._file.close()
+            self._file = None
 
     def refusal(self, key: int, cls: RequestClass) -> Refusal | None:
         if not key:
@@ -77,6 +90,10 @@
             self._out[lease.task.key] = lease
             if cls.effect is Effect.UNSAFE:
                 self._spent.add(lease.task.key)
+                if self._file is not None:  # on the disk before it is on the wire
+                    self._file.write(f"{lease.task.key:x}\n")
+                    self._file.flush()
+                    os.fsync(self._file.fileno())
 
     def over(self, lease: Lease) -> None:
         if self._out.get(lease.task.key) is lease:
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -73,6 +73,7 @@
         self._known: dict[str, Submitted] = {}
         self._ended: list[str] = []
         self._serial = 0
+        self._started = time.time()
         self._epoch = f"{time.time_ns():x}"
 
     async def submit(self, request: Request) -> tuple[dict, dict[str, str]]:
@@ -119,14 +120,19 @@
             case Refusal.SPENT:
                 return {"answer": "failed", "reason": Refusal.SPENT.value}, {}
             case Refusal.IN_DOUBT:
-                wait = max(0.0, self._ledger.doubt_ends(key) + self._bots.timing.grace - time.time())
-                ms = math.ceil(wait * 1000) + 100
-                return ({"answer": "refused", "reason": Refusal.IN_DOUBT.value, "waitMs": ms},
-                        {"Retry-After": str(math.ceil(ms / 1000))})
+                wait = self._ledger.doubt_ends(key) + self._bots.timing.grace - time.time()
+                return self._not_yet(Refusal.IN_DOUBT.value, max(0.0, wait) + 0.1)
+        if (left := self._started + self._bots.timing.settle - time.time()) > 0:
+            return self._not_yet("leases of a former gateway may still run", left)
         if self._ledger.full(cls):
             raise HttpError(503, "class: no more tasks of this class can be remembered", "class")
         return None
 
+    @staticmethod
+    def _not_yet(reason: str, wait: float) -> tuple[dict, dict[str, str]]:
+        return ({"answer": "refused", "reason": reason, "waitMs": math.ceil(wait * 1000)},
+                {"Retry-After": str(math.ceil(wait))})
+
     async def get(self, name: str, request: Request) -> dict:
         asked = self._find(name)
         wait = request.seconds("x-server-timeout", self._bots.timing.poll)
