--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -350,3 +350,12 @@
     driver.send(MachinesChanged(ListForm.FULL, tuple(machines(3))))
     driver.wait(SECOND)
     assert len(of(driver.log, Offer)) == 1
+
+
+def test_a_refusal_tells_when_to_come_back_where_that_is_heard():
+    for settings, wait in (({"retry_after": True, "max_retry_after_us": 3 * SECOND}, SECOND),
+                           ({"retry_after": True, "max_retry_after_us": SECOND // 2}, SECOND // 2), ({}, 0)):
+        driver = Driver(make_settings(**settings), [])
+        driver.arrive()
+        driver.wait(6 * SECOND)
+        assert [refusal.retry_after_us for refusal in of(driver.log, Refuse)] == [wait]
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -264,7 +264,8 @@
         if not r.answered and r.open is None:
             harmless = r.maybe is None or r.cls.effect is Effect.SAFE or (
                 r.cls.effect is Effect.KEYED and r.cls.group is Scope.ALL)
-            self._out.append(Refuse(r.id) if harmless else Fail(r.id))
+            wait = min(REFUSED_US, self._s.max_retry_after_us) if self._s.retry_after else 0
+            self._out.append(Refuse(r.id, wait) if harmless else Fail(r.id))
             self._forget(r)
 
     def _gone(self, e: RequestGone) -> None:
