--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Build, test, lint and run. The commands are those of README.md and deploy/balancer.toml.
+PYTHON = .venv/bin/python
+
+.PHONY: build test lint run pullqueue example clean
+
+build: .venv/built
+
+.venv/built: requirements.txt requirements-dev.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest
+
+lint: build
+	.venv/bin/ruff check .
+
+run: build  # wants PROXY_CONFIG, as on the platform
+	$(PYTHON) -m weldhatch
+
+pullqueue: build
+	$(PYTHON) -m weldhatch --pullqueue examples/pullqueue.toml
+
+example: build  # a toy server, a gateway and one task, all on loopback
+	$(PYTHON) examples/try_platform.py
+
+clean:
+	rm -rf .venv .pytest_cache .ruff_cache
--- /dev/null
+++ b/examples/toy_server.py
@@ -0,0 +1,54 @@
+"""A toy server and event bus: accepts every task, runs it for a while, and says so.
+
+    python examples/toy_server.py SERVER_PORT BUS_PORT
+"""
+
+import asyncio
+import sys
+
+from weldhatch.platform import binary
+
+RUNS_S = 2.0
+
+
+async def serve(reader, writer):
+    """One link of a dispatcher: tests are answered, set-ups accepted, and released when they are done."""
+
+    def run_out(tag):
+        print(f"server: task {tag.hex()} is done", flush=True)
+        writer.write(binary.encode(binary.RELEASE, tag, {binary.CAUSE: b"\x10"}))
+
+    while True:
+        try:
+            length = int.from_bytes(await reader.readexactly(2), "big")
+            data = await reader.readexactly(length)
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        kind, tag = data[0], data[1:9]
+        if kind == binary.TEST:
+            writer.write(binary.encode(binary.TESTED, tag, {
+                binary.CAUSE: b"\x01", binary.REPORT: b"x0:40;x1:90"}))
+        elif kind == binary.SET_UP:
+            print(f"server: task {tag.hex()} is accepted", flush=True)
+            words = {binary.DESCRIPTION: b"hello from the toy server"}
+            writer.write(binary.encode(binary.ANSWER, tag, words))
+            asyncio.get_running_loop().call_later(RUNS_S, run_out, tag)
+
+
+async def bus(reader, writer):
+    """The event bus of a list that never changes: a comment each second."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+    while not writer.is_closing():
+        writer.write(b":\n\n")
+        await asyncio.sleep(1)
+
+
+async def main(server_port, bus_port):
+    await asyncio.start_server(serve, "127.0.0.1", server_port)
+    await asyncio.start_server(bus, "127.0.0.1", bus_port)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2])))
