--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -66,6 +66,7 @@
         """A planned end: whatever was taken is answered, and what still comes is served for its span."""
         await asyncio.sleep(LISTEN_ON_S)
         self.listener.close()
+        self.owners.ending = True
         while self.core.unanswered:
             await asyncio.sleep(0.01)
         await self.owners.finish_all(FLUSH_S)
--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+import traceback
 from collections.abc import Callable
 from typing import Protocol
 
@@ -55,6 +56,9 @@
         except Malformed as fault:
             if not self.closed:
                 self._log(f"{self.name}: closed: {fault}")
+        except Exception:
+            # Guards the process against a fault of ours in one message: that connection alone ends.
+            self._log(f"{self.name}: closed: " + traceback.format_exc().replace("\n", " | "))
         finally:
             self.close()
 
--- a/weldhatch/platform/owners.py
+++ b/weldhatch/platform/owners.py
@@ -21,6 +21,7 @@
 from weldhatch.setups import FieldError, Form
 
 REFUSED, FAILED = 42, 47  # the causes of the two final answers that are not 'placed'
+ENDING_WAIT_US = 1_000_000  # when to come back, for what reaches a dispatcher that ends
 IDLE_S = 6.0  # owners close what idles for 4 s; past this we may do it where descriptors run short
 
 
@@ -98,6 +99,7 @@
         self._asked: dict[str, Asked] = {}
         self._unsent: list[bytes] = []  # releases that no connection was open for
         self._tasks: set[asyncio.Task] = set()
+        self.ending = False  # the planned end: what comes now is refused at once
 
     def taken(self, stream: IOStream, host: str) -> None:
         link = OwnerLink(self, Connection(stream, self._share, f"owner {host}", self._log), host)
@@ -116,7 +118,9 @@
                 raise Malformed(f"the tag {line.tag} is in use")
             return  # it names a task that is held here already
         asked = self._asked[line.tag] = Asked(self, link, line.tag)
-        if at:
+        if self.ending and not at:
+            asked.refused(ENDING_WAIT_US)
+        elif at:
             asked.stands = True
             asked.life = self._core.adopt(task, number_of(at), asked)
         else:
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -17,6 +17,7 @@
 QUIET_S = 1.5  # a server with tasks of ours that says nothing for so long is sent a test
 SILENT_S = 1.5  # one that leaves a message unanswered, and says nothing, for so long has vanished
 WATCH_S = 0.25
+STALL_S = 0.3  # a watch that comes so late tells of us, not of the servers
 LOST_TRIES = 2  # connects that never come up before the tasks of a silent machine count as lost
 UNCLAIMED_MOST = 4096  # releases of tasks that no owner has named yet
 BEFORE = {34: i.Outcome.FULL, 47: i.Outcome.ERROR, 102: i.Outcome.NOT_SENT}  # any other: a reset
@@ -97,8 +98,10 @@
                     self._asked = time.monotonic() if self._pending else 0.0
                     pending, self._pending = self._pending, {}
                     self._up.send(b"".join(pending.values()))
-                    await self._up.pump(b.parse, self._handle)
-                    self._broken()
+                    try:
+                        await self._up.pump(b.parse, self._handle)
+                    finally:
+                        self._broken()
                 if not (self.standing or self._pending):
                     return
                 await asyncio.sleep(0.02 if not tries else 0.2)
@@ -106,8 +109,8 @@
             self._connecting = None
 
     def drop(self, why: str) -> None:
-        self._servers.log(f"server {self.server.uid}: {why}")
-        if self._up is not None:
+        if self._up is not None and not self._up.closed:
+            self._servers.log(f"server {self.server.uid}: {why}")
             self._up.close()
 
     def _never_up(self) -> None:
@@ -121,11 +124,15 @@
         self._end_open(i.Outcome.RESET)
 
     def _end_open(self, outcome: i.Outcome) -> None:
-        out, self.out = self.out, {}
-        for held in out.values():
+        """End all but what was asked for since the connection closed: that still waits for the next one.
+
+        Guards against a set-up that is told as ended here and goes out there all the same.
+        """
+        for tag in [tag for tag in self.out if tag not in self._pending]:
+            held = self.out.pop(tag)
             held.teller.tell(ports.Ended(held.attempt, outcome))
-        probes, self.probes = self.probes, {}
-        for done, timer in probes.values():
+        for tag in [tag for tag in self.probes if tag not in self._pending]:
+            done, timer = self.probes.pop(tag)
             timer.cancel()
             done(outcome, ())
 
@@ -138,6 +145,11 @@
             del self.standing[tag]
             held.teller.tell(ports.Ended(held.attempt, i.Outcome.RESET, cause=ports.CUT))
 
+    def excuse(self, now: float) -> None:
+        """Guards against our own stalls: what a server said during one is not read yet."""
+        if self._asked:
+            self._asked = now
+
     def watch(self, now: float) -> None:
         """Guards against a machine that vanished: it gives no sign, so its silence must be noticed."""
         up = self._up
@@ -222,8 +234,10 @@
             link = self._links.get(server.machine)
             if link is None:
                 self._links[server.machine] = Link(self, server)
+                self._passed_on(server)
                 continue
             old, link.server = link.server, server
+            self._passed_on(server)
             if server.endpoint != old.endpoint and server.state != i.MachineState.GONE:
                 link.drop("has a new address")
             if server.boot_ms > old.boot_ms:
@@ -231,17 +245,31 @@
             if server.state == i.MachineState.GONE and link.standing:
                 link.open()  # what stood there is lost if the machine is: the connect tells
 
+    def _passed_on(self, server: Server) -> None:
+        """Guards against a new server taken for the one whose address it has: the old one's tasks are over."""
+        if server.state == i.MachineState.GONE:
+            return
+        for link in self._links.values():
+            if link.server.endpoint == server.endpoint and link.server.machine != server.machine:
+                link.lose("has lost its address")
+                link.drop("its address has passed on")
+
     async def connect(self, server: Server) -> Connection:
         if not self._share.take():
             raise TimeoutError("no descriptor is left")
         return await connect(server.endpoint, self._dial_s, self._share, f"server {server.uid}", self.log)
 
     async def _watch(self) -> None:
+        last = time.monotonic()
         while True:
             await asyncio.sleep(WATCH_S)
             now = time.monotonic()
             for link in list(self._links.values()):
-                link.watch(now)
+                if now - last > WATCH_S + STALL_S:
+                    link.excuse(now)
+                else:
+                    link.watch(now)
+            last = now
 
     def close(self) -> None:
         self._watching.cancel()
