--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -246,7 +246,7 @@
                 link.open()  # what stood there is lost if the machine is: the connect tells
 
     def _passed_on(self, server: Server) -> None:
-        """Guards against a new server taken for the one whose address it has: the old one's tasks are over."""
+        """Guards against a new server taken for the one that had its address: those tasks are over."""
         if server.state == i.MachineState.GONE:
             return
         for link in self._links.values():
