--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -55,7 +55,7 @@
         self.heard = asyncio.Queue()
         self.writers = []
         self.server = None
-        self.closed = asyncio.Event()
+        self.closed, self.connected = asyncio.Event(), asyncio.Event()
         self.hung = self.used = False
 
     async def listen(self, address=("127.0.0.1", 0)):
@@ -64,6 +64,7 @@
 
     async def serve(self, reader, writer):
         self.writers.append(writer)
+        self.connected.set()
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             await self.read(reader, writer)
         if writer in self.writers:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,10 +107,21 @@
 
     async def test_a_server_that_vanished_is_dropped_and_its_tasks_are_released(self):
         """Guards against silence: a vanished machine gives no sign, and its tasks must not stand for ever."""
-        await self.play(PLACE + "s1 hang")
-        self.parties["s1"].server.close()
-        await self.play("owner expect FINISH a1 cause=41")
-        self.assertTrue(any("silent" in line for line in self.logged), self.logged)
+        for error in (TimeoutError, ConnectionRefusedError):
+            await self.play(PLACE + "s1 hang")
+            with unittest.mock.patch.object(self.gateway.servers, "connect", side_effect=error):
+                await self.play("owner expect FINISH a1 cause=41")
+            self.assertTrue(any("silent" in line for line in self.logged), self.logged)
+            self.parties["s1"].hung = False
+
+    async def test_a_server_that_is_only_busy_keeps_its_connection(self):
+        """Guards against taking a long line of offers for silence: a busy machine takes connections."""
+        await self.play("owner send START a1 class=unsafe\ns1 expect SET_UP a1\ns1 hang")
+        server, [old] = self.parties["s1"], self.parties["s1"].writers
+        server.connected.clear()
+        await self.play("owner send START a2\ns1 wait connected")
+        server.hung, server.writers = False, [old]
+        await self.play("s1 send ANSWER a1\nowner expect STARTED a1")
 
     async def test_adopted_tasks_are_heard_of_and_may_end_before_they_are_named(self):
         await self.play("""
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -15,10 +15,11 @@
 from weldhatch.platform.fleet import Server
 
 QUIET_S = 1.5  # a server with tasks of ours that says nothing for so long is sent a test
-SILENT_S = 1.5  # one that leaves a message unanswered, and says nothing, for so long has vanished
-WATCH_S = 0.25
+SILENT_S = 0.5  # one that leaves a message unanswered, and says nothing, for so long is tried
+WATCH_S = 0.1
 STALL_S = 0.3  # a watch that comes so late tells of us, not of the servers
-LOST_TRIES = 2  # connects that never come up before the tasks of a silent machine count as lost
+LOST_TRIES = 2  # connects that never come up: the machine has vanished
+EXCUSES_MOST = 4  # connects that do come up while the old connection stays silent: it is given up
 UNCLAIMED_MOST = 4096  # releases of tasks that no owner has named yet
 BEFORE = {34: i.Outcome.FULL, 47: i.Outcome.ERROR, 102: i.Outcome.NOT_SENT}  # any other: a reset
 AFTER = {16: i.Outcome.OK, 31: i.Outcome.CANCELLED}
@@ -59,6 +60,8 @@
         self.standing: dict[bytes, Held] = {}
         self.probes: dict[bytes, tuple[Callable, asyncio.TimerHandle]] = {}
         self._asked = 0.0  # when the first message since the last sign of life went out
+        self._trial: asyncio.Task | None = None
+        self._excuses = 0
 
     def send(self, name: object, data: bytes) -> None:
         if self._up is not None and not self._up.closed:
@@ -156,12 +159,39 @@
         if up is None or up.closed:
             return
         if self._asked and self._asked >= up.heard:
-            if now - self._asked > SILENT_S:
-                self.drop("silent, the connection is dropped")
-        elif self.standing and now - up.heard > QUIET_S:
+            if now - self._asked > SILENT_S and self._trial is None:
+                self._trial = asyncio.get_running_loop().create_task(self._try(up))
+            return
+        self._excuses = 0
+        if self.standing and now - up.heard > QUIET_S:
             self._servers.test(self)
 
+    async def _try(self, up: Connection) -> None:
+        """Whether a silent machine is busy or has vanished: a busy one still takes a new connection."""
+        why = "is silent, and no connection comes up"
+        try:
+            for _ in range(LOST_TRIES):
+                try:
+                    (await self._servers.connect(self.server)).close()
+                except ConnectionError:
+                    why = "is silent and refuses connections"
+                    break
+                except (OSError, TimeoutError):
+                    continue
+                self._excuses += 1
+                if self._excuses > EXCUSES_MOST:
+                    self.drop("takes connections and stays silent on this one")
+                self._asked = time.monotonic()
+                return
+            if self._up is up and up.heard <= self._asked:
+                self.drop(why)
+                self.lose(why)
+        finally:
+            self._trial = None
+
     def close(self) -> None:
+        if self._trial is not None:
+            self._trial.cancel()
         if self._connecting is not None:
             self._connecting.cancel()
         if self._up is not None:
