--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,99 @@
+"""The ring buffer against plain bytes, and every parser on input that comes in pieces."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from weldhatch.net.budget import Budget, Share
+from weldhatch.net.connection import Malformed
+from weldhatch.net.ring import Ring
+from weldhatch.platform import binary, bus, jsonl
+from weldhatch.pullqueue import http
+
+STEPS = st.lists(st.one_of(st.binary(max_size=12), st.integers(0, 12)), max_size=60)
+
+
+@given(STEPS)
+def test_a_ring_holds_what_plain_bytes_would(steps):
+    ring, plain = Ring(16), b""
+    for step in steps:
+        if isinstance(step, bytes):
+            fits = len(plain) + len(step) <= 16
+            assert ring.put(step) is fits
+            plain += step if fits else b""
+        else:
+            count = min(step, len(plain))
+            assert ring.take(count) == plain[:count]
+            plain = plain[count:]
+        assert len(ring) == len(plain) and ring.copy(len(plain)) == plain
+        assert plain.startswith(bytes(ring.front())) and bool(ring.front()) == bool(plain)
+        assert bool(ring.room()) == (len(plain) < 16)
+        for start in range(len(plain) + 1):
+            assert ring.find(b"\0", start) == plain.find(b"\0", start)
+
+
+def in_pieces(parse, data, size, capacity=4096):
+    ring, found = Ring(capacity), []
+    ring.put(bytes(capacity - 7))  # so that the messages wrap round
+    ring.drop(capacity - 7)
+    for at in range(0, len(data), size):
+        assert ring.put(data[at:at + size])
+        while (message := parse(ring)) is not None:
+            found.append(message)
+    assert not len(ring)
+    return found
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 4000])
+def test_messages_are_read_whole_however_they_come(size):
+    one = binary.encode(binary.SET_UP, b"12345678", {binary.CLASS: b"safe", binary.DESCRIPTION: b"v=0\r\n" * 9})
+    two = binary.encode(binary.TEST, b"abcdefgh", {binary.CAUSE: b"\1"})
+    first, second = in_pieces(binary.parse, one + two, size)
+    assert (first.type, first.tag, first.text(binary.DESCRIPTION)) == (1, b"12345678", "v=0\r\n" * 9)
+    assert second.cause == 1
+    line = jsonl.encode("START", "9b1f03aa5c7e2d41", {"left": "5"}, None, "a\r\nb\u00e9")
+    [read] = in_pieces(jsonl.parse, line, size)
+    assert (read.verb, read.fields, read.description) == ("START", {"left": "5"}, "a\r\nb\u00e9")
+    asked = b"POST /v1test2/tasks?x=1 HTTP/1.1\r\nContent-Length: 2\r\nX-A:  b \r\n\r\n{}"
+    [request, _] = in_pieces(http.parse, asked * 2, size)
+    assert (request.method, request.path, request.headers["x-a"], request.body) == (
+        "POST", "/v1test2/tasks", "b", b"{}")
+
+
+@pytest.mark.parametrize("size", [1, 3, 4000])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_the_bus_is_read_in_chunks_or_not(size, chunked):
+    body = b": hello\n\nid: 2\ndata: {}\n\n"
+    if chunked:
+        parts = [body[:5], body[5:]]
+        body = b"".join(f"{len(part):x}\r\n".encode() + part + b"\r\n" for part in parts)
+    head = b"HTTP/1.1 200 OK\r\n" + b"Transfer-Encoding: chunked\r\n" * chunked + b"\r\n"
+    lines = [line for some in in_pieces(bus.Stream().lines, head + body, size) for line in some]
+    assert lines == [": hello", "", "id: 2", "data: {}", ""]
+
+
+@pytest.mark.parametrize("parse, data", [
+    (binary.parse, b"\0\5\1123"), (binary.parse, b"\0\x0b\1" + b"12345678" + b"\x40\0"),
+    (binary.parse, b"\0\x0c\1" + b"12345678" + b"\x40\0\1"), (jsonl.parse, b"null\n"), (jsonl.parse, b"{}\n"),
+    (jsonl.parse, b'{"verb":1,"tag":"9b1f03aa5c7e2d41"}\n'),
+    (jsonl.parse, b'{"verb":"FINISH","tag":"9b1f03aa5c7e2d41","rc":"x"}\n'), (http.parse, b"GET /\r\n\r\n"),
+    (http.parse, b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+    (http.parse, b"POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n"),
+    (http.parse, b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+    (bus.Stream().lines, b"HTTP/1.1 503 No\r\n\r\n"),
+])
+def test_what_cannot_be_read_is_malformed(parse, data):
+    ring = Ring(1024)
+    ring.put(data)
+    with pytest.raises(Malformed):
+        parse(ring)
+
+
+def test_a_share_never_takes_more_than_its_part_or_the_budget_has():
+    budget = Budget(24 + 10)
+    share, other, woken = Share(budget, 6), Share(budget, 9), []
+    assert [share.take() for _ in range(7)] == [True] * 6 + [False]
+    assert [other.take() for _ in range(5)] == [True] * 4 + [False]
+    other.when_free(lambda: woken.append("other"))
+    share.give_back()
+    assert woken == ["other"] and other.take() and budget.held == budget.most
