Give each request its one final answer even where our own code faults

From review, each with a test: an exception in a request's coroutine left its owner without an answer; half a character (a lone surrogate) in a description could cause one; a poll that its machine has given up could still be handed a lease; a ledger that can't be read is now named as such. Also tested: a module that throws or never decides.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -46,7 +46,8 @@
 
 @pytest.mark.parametrize("size", [1, 2, 7, 4000])
 def test_messages_are_read_whole_however_they_come(size):
-    one = binary.encode(binary.SET_UP, b"12345678", {binary.CLASS: b"safe", binary.DESCRIPTION: b"v=0\r\n" * 9})
+    parameters = {binary.CLASS: b"safe", binary.DESCRIPTION: b"v=0\r\n" * 9}
+    one = binary.encode(binary.SET_UP, b"12345678", parameters)
     two = binary.encode(binary.TEST, b"abcdefgh", {binary.CAUSE: b"\1"})
     first, second = in_pieces(binary.parse, one + two, size)
     assert (first.type, first.tag, first.text(binary.DESCRIPTION)) == (1, b"12345678", "v=0\r\n" * 9)
@@ -75,6 +76,7 @@
 @pytest.mark.parametrize("parse, data", [
     (binary.parse, b"\0\5\1123"), (binary.parse, b"\0\x0b\1" + b"12345678" + b"\x40\0"),
     (binary.parse, b"\0\x0c\1" + b"12345678" + b"\x40\0\1"), (jsonl.parse, b"null\n"), (jsonl.parse, b"{}\n"),
+    (jsonl.parse, b'{"verb":"START","tag":"9b1f03aa5c7e2d41","blob":"\\ud800"}\n'),
     (jsonl.parse, b'{"verb":1,"tag":"9b1f03aa5c7e2d41"}\n'),
     (jsonl.parse, b'{"verb":"FINISH","tag":"9b1f03aa5c7e2d41","rc":"x"}\n'), (http.parse, b"GET /\r\n\r\n"),
     (http.parse, b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -212,6 +212,19 @@
         await self.until(lambda: told, "the offer was answered")
         self.assertEqual([ports.Answered(0, "")], told)
 
+    async def test_a_fault_in_one_request_still_gives_its_one_final_answer(self):
+        """Guards against a coroutine that dies and leaves its owner without an answer."""
+        with unittest.mock.patch.object(self.gateway.servers, "offer", side_effect=KeyError("boom")):
+            await self.play("owner send START a1\nowner expect FINISH a1 cause=47")
+        await self.until(lambda: not self.gateway.core.lives, "the request was forgotten")
+        await self.play(PLACE)
+
+    async def test_a_module_that_fails_on_a_batch_or_never_decides_does_not_lose_requests(self):
+        with unittest.mock.patch.object(self.gateway.driver._policy, "handle", side_effect=KeyError("boom")):
+            await self.play("owner send START a1 left=100\nowner expect FINISH a1 cause=47")
+        self.assertTrue(any("the policy failed" in line for line in self.logged), self.logged)
+        await self.play(PLACE)
+
     async def test_a_fault_in_one_message_ends_that_connection_alone(self):
         with unittest.mock.patch.object(self.gateway.owners, "finish", side_effect=KeyError("boom")):
             await self.play("owner send FINISH a1 cause=16\nowner wait closed")
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections import deque
 from collections.abc import Callable
 
@@ -42,6 +43,7 @@
         self._words: deque[object] = deque()
         self._wake: asyncio.Future | None = None
         self._attempts = 0
+        self._answered = machine is not None
         self._loop = asyncio.get_running_loop()
         self.id = self._driver.register(self.tell)
         core.lives.add(self)
@@ -69,6 +71,12 @@
                 placed = self._adopted(machine)
             if placed is not None:
                 await self._stand(*placed)
+        except Exception:
+            # Guards the owner against a fault of ours: its request still gets its one final answer.
+            self._core.log(f"request {self.id}: " + traceback.format_exc().replace("\n", " | "))
+            if not self._answered:
+                self._owner.failed()
+            self._driver.post(i.RequestGone(self.id))
         finally:
             self._driver.forget(self.id)
             self._core.lives.discard(self)
@@ -91,18 +99,22 @@
                         if over:
                             return placed
                     case i.Refuse(_, wait):
+                        self._answered = True
                         self._owner.refused(wait)
                         return None
                     case i.Fail():
+                        self._answered = True
                         self._owner.failed()
                         return None
                     case Overdue():
                         # Guards against a module that never decides: the owner is owed an answer in time.
                         self._core.log(f"request {self.id}: no decision by the deadline")
+                        self._answered = True
                         self._owner.failed()
                         await self._withdraw()
                         return None
                     case GivenUp():
+                        self._answered = True  # none is owed any more
                         await self._withdraw()
                         return None
         finally:
@@ -134,6 +146,7 @@
             while True:
                 match await self._next():
                     case Answered(attempt, description) if attempt == number:
+                        self._answered = True
                         self._owner.placed(description)
                         self._driver.post(i.Placed(self.id, number, machine, unix_us() - sent))
                         return True, (machine, number, sent)
@@ -147,6 +160,7 @@
                         if self._let_go(machine, number, sent, i.Outcome.CANCELLED):
                             return False, None
                     case GivenUp():
+                        self._answered = True
                         self._driver.post(i.RequestGone(self.id))
                         self._let_go(machine, number, sent, i.Outcome.CANCELLED, closed=True)
                         return True, None
--- a/weldhatch/platform/jsonl.py
+++ b/weldhatch/platform/jsonl.py
@@ -8,7 +8,7 @@
 from weldhatch.net.connection import Malformed
 from weldhatch.net.ring import Ring
 
-_ESCAPED = json.JSONEncoder(separators=(",", ":")).encode
+_ESCAPED = json.JSONEncoder(separators=(",", ":"), ensure_ascii=False).encode
 
 
 @dataclass(slots=True)
@@ -36,6 +36,8 @@
             raise TypeError("rc is no whole number")
         if line.description is not None and not isinstance(line.description, str):
             raise TypeError("blob is no text")
+        if line.description is not None:
+            line.description.encode()  # half a character can be written in JSON and nowhere else
         if len(bytes.fromhex(line.tag)) != 8:
             raise ValueError("tag is not 16 hex digits")
     except KeyError as missing:
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -136,9 +136,12 @@
                 await asyncio.wait_for(bot.news.wait(), left)
             except TimeoutError:
                 break
-            if bot.session != session or bot.poll != poll:
-                raise HttpError(409, "name: a later update of this machine has come", "name")
+            if bot.poll != poll:
+                break
             bot.news.clear()
+        if bot.session != session or bot.poll != poll:
+            # Guards against handing a lease to a poll that its machine has given up.
+            raise HttpError(409, "name: a later update of this machine has come", "name")
         leases = [{"id": id, "state": "CANCELLED"} for id in to_end]
         leases += [self._shown(lease) for lease in bot.leases.values()
                    if lease.id in known and lease.phase in (Phase.PENDING, Phase.ACTIVE, Phase.CANCELLED)]
--- a/weldhatch/pullqueue/leases.py
+++ b/weldhatch/pullqueue/leases.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TextIO
 
+from weldhatch.config import ConfigError
 from weldhatch.core import ports
 from weldhatch.interface import Effect, RequestClass
 
@@ -54,10 +55,14 @@
 
     def open(self) -> None:
         """Read what a former gateway handed out, and keep the file open for more."""
-        if self.path:
+        if not self.path:
+            return
+        try:
             self._file = open(self.path, "a+", encoding="ascii")  # noqa: SIM115
             self._file.seek(0)
             self._spent.update(int(line, 16) for line in self._file.read().split())
+        except (OSError, ValueError) as fault:
+            raise ConfigError(f"ledger: {self.path}: {fault}") from None
 
     def close(self) -> None:
         if self._file is not None:
--- a/weldhatch/setups.py
+++ b/weldhatch/setups.py
@@ -73,7 +73,10 @@
     value = fields.get(name, "")
     if isinstance(value, bool) or not isinstance(value, str | int | float):
         raise FieldError(name, f"the unusable value {value!r}")
-    return str(value)
+    text = str(value)
+    if not text.isascii():
+        raise FieldError(name, f"the unusable value {value!r}")
+    return text
 
 
 def _figure(field: str, text: str) -> float:
