Read the configuration again on SIGHUP and move to the new event bus

Now SIGHUP reads the platform's file through config.platform. The bus is moved to its new address and asked from the last event on, so the numbers go on and nothing between is lost; a file that can't be used is logged and the old one stays; other keys that changed are named as needing a restart. limits that are no object and JSON nested without end are faults with a name too.

--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -41,6 +41,7 @@
 
     def __init__(self, told: config.Platform, log: Callable[[str], None]) -> None:
         settings = told.settings
+        self._started, self._log = told, log
         budget = self.budget = Budget(told.sockets)
         self.driver = Driver(Policy(settings, told.seed), log)
         self.servers = Servers(settings, Share(budget, budget.most), told.dial_s, told.probe_s, log)
@@ -62,6 +63,17 @@
         if changed := self.fleet.take(event):
             self.driver.post(changed)
 
+    def reconfigure(self, told: config.Platform) -> None:
+        """Take over what can change while it runs: the address of the event bus, and events we missed."""
+        for event in told.known:
+            self._told(event)
+        self.bus.move(told.bus)
+        for key, now, then in (("listen", self._started.listen, told.listen),
+                               ("limits.sockets", self._started.sockets, told.sockets),
+                               ("settings", self._started.settings, told.settings)):
+            if now != then:
+                self._log(f"configuration: {key} has changed, which takes a restart")
+
     async def end(self) -> None:
         """A planned end: whatever was taken is answered, and what still comes is served for its span."""
         await asyncio.sleep(LISTEN_ON_S)
@@ -87,9 +99,11 @@
         tree = config.pull_queue_tree(pull_file) if os.path.exists(pull_file) else {}
         pull = config.pull_queue(tree) if tree else None
         self.stop, self.next_tree, self.fronts = asyncio.Event(), None, []
+        self._gateway: Gateway | None = None
         if "PROXY_CONFIG" in os.environ or pull is None or not pull.enabled:
             told = config.platform(os.environ)
-            self.fronts.append(Gateway(told, log))
+            self._gateway = Gateway(told, log)
+            self.fronts.append(self._gateway)
             log(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
         if pull is not None and pull.enabled:
             front = PullQueue(pull, Policy(pull.settings, random.getrandbits(64)), log)
@@ -102,6 +116,18 @@
         self.next_tree = tree
         asyncio.get_running_loop().call_later(ANSWER_S, self.stop.set)
 
+    def reload(self) -> None:
+        """SIGHUP: read the platform's file again. One that can't be used is logged, and the old one stays."""
+        if self._gateway is None:
+            log("told to read the configuration again: the pull queue's is changed by plan and apply")
+            return
+        try:
+            self._gateway.reconfigure(config.platform(os.environ))
+        except ValueError as fault:  # a ConfigError, or an event under `known` that can't be read
+            log(f"configuration not taken over, the old one stays: {fault}")
+        else:
+            log("configuration read again")
+
     async def end(self) -> None:
         await asyncio.gather(*(front.end() for front in self.fronts))
 
@@ -111,6 +137,7 @@
     running = Running(pull_file)
     for name in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(name, running.stop.set)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, running.reload)
     gc.collect()
     gc.freeze()
     await running.stop.wait()
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -236,7 +236,7 @@
         raise ConfigError("PROXY_CONFIG is missing: it names the configuration file")
     tree = json_file(path)
     settings = settings_of_json(_key(tree, "settings", dict))
-    limits = tree["settings"].get("limits") or {}
+    limits = _key(tree["settings"], "limits", dict, {})
     try:
         dial_s = float(limits.get("dialTimeoutUs", 250_000)) / 1e6
     except (TypeError, ValueError):
@@ -263,7 +263,7 @@
 
 def endpoint(key: str, text: str) -> tuple[str, int]:
     host, sign, port = text.rpartition(":")
-    if not sign or not host or not port.isdigit() or int(port) > 65535:
+    if not sign or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
         raise ConfigError(f"{key} has the unusable value {text!r}: it should be host:port")
     return host, int(port)
 
@@ -272,7 +272,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             tree = json.load(file)
-    except (OSError, ValueError) as fault:
+    except (OSError, ValueError, RecursionError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
     if not isinstance(tree, dict):
         raise ConfigError(f"{path}: not an object")
--- a/weldhatch/platform/bus.py
+++ b/weldhatch/platform/bus.py
@@ -81,6 +81,18 @@
         elif not on:
             self.close()
 
+    def move(self, endpoint: tuple[str, int]) -> None:
+        """The bus has a new address: the old one tells nothing more, so it is left at once.
+
+        The new one is asked from the last event on, so what came between is told and the numbers go on.
+        """
+        if endpoint == self._endpoint:
+            return
+        self._endpoint = endpoint
+        if self._task is not None:
+            self.close()
+            self.subscribe(True)
+
     def close(self) -> None:
         if self._task is not None:
             self._task.cancel()
