Turn bad clients away: no silent, idle or flooding one keeps others out

About a thousand connections said nothing, or asked once and stayed; they held the owners' share of descriptors, so all others waited in the backlog (Listener._pause, Owners.close_idle). Every connection held 146 KB of rings (net/ring.py), 64 of 80 MB. Requests that no server can use came back as errors, and each made a machine a suspect for 5 s and more (Policy._judge), which pushed usual tasks from their machines. Ruled out: penalties by address, since usual owners share theirs with bad clients (127.8.240.2 did).

Now: a connection without a whole message by 2 s, or stopped within one, is closed; idle ones are after 6 s, or at once where descriptors run short, those first that lose least. A line that can't be one is closed on its first byte; a client that is turned away waits 0.4 s for its close. 64 set-ups open a connection, the rest is refused; what is taken back at once never reaches the module. Rings grow as needed. The module counts faults: three without a task placed in between make a suspect, one broken connection is one, and a request that two machines answer with an error is answered. Set-ups open on a closed connection are forgotten by tag as well.

--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,136 @@
+"""Scenarios of clients that break the rules: each is turned away, and the others do not notice."""
+
+import asyncio
+import json
+import unittest.mock
+
+from scenario import Owner, Scenario, tag
+
+from weldhatch.platform import owners
+
+SET_UP = {"class": "safe", "left": "1500", "key": "7", "extras": "cores:1;memory:2;service:9"}
+USUAL = """
+    usual send START {0} | v=0
+    s1 expect SET_UP {0}
+    s1 send ANSWER {0} | v=0 s=9
+    usual expect STARTED {0} | v=0 s=9
+"""
+
+
+def line(name="b1", verb="START", blob="v=0", **fields):
+    return json.dumps({"verb": verb, "tag": tag(name).hex(), "opts": fields, "blob": blob}).encode() + b"\n"
+
+
+class BadClients(Scenario):
+    async def client(self, name, data=b""):
+        self.parties[name] = party = Owner()
+        await party.open(self.gateway.listener.address)
+        if data:
+            party.writers[0].write(data)
+        return party
+
+    async def closed(self, name, data=b""):
+        await self.client(name, data)
+        await self.play(f"{name} wait closed")
+
+    async def test_set_ups_that_no_server_can_use_reach_none(self):
+        bad = [{**SET_UP, **change} for change in (
+            {"class": "safe_x"}, {"left": "-5"}, {"left": "soon"}, {"left": ""}, {"left": "1e9"},
+            {"left": "nan"}, {"left": 99999999999}, {"key": "0x7"}, {"key": "+7"}, {"key": ""},
+            {"key": "1" * 17}, {"extras": "cores:nan;memory:2"}, {"extras": "cores:-1;memory:2"},
+            {"extras": "cores:1"},
+            {"extras": "cores:1;memory:1e8;service:9"}, {"extras": "cores:89;memory:1;service:9"},
+            {"extras": "x"}, {"extras": ["x"]}, {"class": "keyed"}, {"class": "keyed", "idem": "no"})]
+        with unittest.mock.patch.object(owners, "AWAY_S", 0.01):
+            for n, fields in enumerate(bad):
+                await self.closed(f"b{n}", line(**fields))
+        await self.play(USUAL.format("a1"))  # the first that the server hears of
+        self.assertEqual(len(bad), sum("unusable field" in text for text in self.logged), self.logged)
+
+    async def test_a_task_that_stands_is_believed_whatever_its_owner_says_it_waits(self):
+        """Guards against losing all owners at a start: theirs come with the longest time there is."""
+        await self.play("usual send START a1 left=4294967 extras=cores:1;memory:1;service:9;at:u-s1")
+        await self.until(lambda: self.parties["s1"].writers, "a connection is opened to hear of the task")
+        await self.play("s1 send RELEASE a1 cause=16\nusual expect FINISH a1 cause=16")
+
+    async def test_an_open_tag_with_another_description_ends_only_the_second_client(self):
+        await self.play("usual send START a1 | v=0\ns1 expect SET_UP a1")
+        await self.closed("bad", line("a1", blob="other", **SET_UP))
+        await self.play("s1 send ANSWER a1 | v=0\nusual expect STARTED a1 | v=0")
+
+    async def test_those_who_say_nothing_or_half_a_message_are_closed(self):
+        with unittest.mock.patch.object(owners, "WHOLE_S", 0.3):
+            for name, data in (("silent", b""), ("half", line()[:40]), ("more", line(verb="ECHO") + b"{")):
+                await self.closed(name, data)
+            await self.play(USUAL.format("a1"))
+
+    async def test_nothing_is_kept_of_a_line_that_can_be_no_message(self):
+        with unittest.mock.patch.object(owners, "WHOLE_S", 1000.0):
+            await self.closed("noise", b"\xb3\xfc\xaf")  # closed at once, though the line has no end
+
+    async def test_one_that_asked_and_stays_is_closed_once_it_has_idled_but_not_one_with_a_task(self):
+        await self.play(USUAL.format("a1"))
+        with unittest.mock.patch.object(owners, "IDLE_S", 0.3):
+            await self.closed("stays", line(verb="ECHO"))
+            self.assertFalse(self.parties["usual"].closed.is_set())
+            await self.play("s1 send RELEASE a1 cause=16\nusual expect FINISH a1\nusual wait closed")
+
+    async def test_set_ups_by_hundreds_are_refused_past_a_number(self):
+        await self.play(USUAL.format("a1") + "s1 hang")
+        count = 300
+        fields = {**SET_UP, "left": "9000"}
+        bad = await self.client("bad", b"".join(line(f"b{n}", **fields) for n in range(count)))
+        for _ in range(count - owners.OPEN_MOST):
+            verb, _, fields, _ = await asyncio.wait_for(bad.heard.get(), 20)
+            self.assertEqual(("FINISH", "42", "1000"), (verb, fields["cause"], fields["wait"]))
+        [link] = [link for link in self.gateway.owners.links if link.open]
+        self.assertEqual(owners.OPEN_MOST, len(link.open))
+
+    async def test_set_ups_taken_back_at_once_reach_no_server_and_end_the_connection(self):
+        pairs = (line(f"b{n}", **SET_UP) + line(f"b{n}", "FINISH") for n in range(2 * owners.BACK_MOST))
+        await self.closed("bad", b"".join(pairs))
+        await self.until(lambda: not self.gateway.core.lives, "the requests were forgotten")
+        self.assertEqual((0, {}), (self.gateway.core.unanswered, self.gateway.owners._asked))
+        self.assertFalse(self.parties["s1"].connected.is_set())  # not even probed
+        await self.play(USUAL.format("a1"))
+
+    async def test_nothing_is_kept_of_a_client_that_closes_with_set_ups_open(self):
+        await self.play("usual send START a1\ns1 expect SET_UP a1\nusual close\ns1 expect RELEASE a1")
+        await self.until(lambda: not self.gateway.core.lives, "the request was forgotten")
+        self.assertEqual({}, self.gateway.owners._asked)
+
+    async def test_a_client_that_is_turned_away_is_not_closed_at_once(self):
+        """Guards against one that comes again as soon as it is closed."""
+        with unittest.mock.patch.object(owners, "AWAY_S", 1000.0):
+            await self.client("bad", b"[]\n")
+            await self.until(lambda: any(link.away for link in self.gateway.owners.links), "turned away")
+            await self.play(USUAL.format("a1"))
+            self.assertFalse(self.parties["bad"].closed.is_set())
+
+
+class Crowd(Scenario):
+    sockets = 48
+
+    async def test_clients_that_say_nothing_or_ask_once_keep_no_other_out(self):
+        share = self.gateway.owners._share
+        with (unittest.mock.patch.object(owners, "WHOLE_S", 1000.0),
+              unittest.mock.patch.object(owners, "IDLE_S", 1000.0)):
+            await self.play(USUAL.format("a1"))
+            for n in range(2 * share.most):
+                party = Owner()
+                self.parties[f"x{n}"] = party
+                await party.open(self.gateway.listener.address)
+                if n % 2:
+                    party.writers[0].write(line(verb="ECHO"))
+            await self.play("""
+                late send START a2 | v=0
+                s1 expect SET_UP a2
+                s1 send ANSWER a2
+                late expect STARTED a2
+            """)
+            self.assertFalse(self.parties["usual"].closed.is_set())
+            self.assertLessEqual(self.gateway.budget.held, self.gateway.budget.most)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,7 +6,7 @@
 
 from weldhatch.net.budget import Budget, Share
 from weldhatch.net.connection import Malformed
-from weldhatch.net.ring import Ring
+from weldhatch.net.ring import SMALL, Ring
 from weldhatch.platform import binary, bus, jsonl
 from weldhatch.pullqueue import http
 
@@ -32,6 +32,15 @@
             assert ring.find(b"\0", start) == plain.find(b"\0", start)
 
 
+def test_a_ring_takes_space_as_it_needs_it_and_gives_it_back():
+    """Guards against connections by hundreds that say little and hold whole rings."""
+    ring = Ring(128 * 1024)
+    assert len(ring.room()) == SMALL
+    assert ring.put(b"x" * 100_000) and len(ring) == 100_000
+    assert ring.take(100_000) == b"x" * 100_000
+    assert len(ring.room()) == SMALL
+
+
 def in_pieces(parse, data, size, capacity=4096):
     ring, found = Ring(capacity), []
     ring.put(bytes(capacity - 7))  # so that the messages wrap round
--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -54,10 +54,11 @@
         # Guards against a module that does not ask: its settings may say that changes come by
         # themselves, and here they come only to those who read the bus.
         self.bus.subscribe(True)
-        # Owners keep at most a third of the descriptors; whatever they do, some are left for the servers.
-        share = Share(budget, min(told.sockets // 2, budget.most - 8))
+        # Owners keep at most a third of the descriptors and others may come on top; whatever they do, a
+        # third is left for the servers.
+        share = Share(budget, min(told.sockets * 2 // 3, budget.most - 8))
         self.owners = Owners(settings, self.core, share, log)
-        self.listener = Listener(told.listen, share, self.owners.taken, self.owners.close_idle)
+        self.listener = Listener(told.listen, share, self.owners.taken, self.owners.make_room)
 
     def _told(self, event: dict) -> None:
         if changed := self.fleet.take(event):
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -86,6 +86,10 @@
     async def _place(self) -> tuple[int, int, int] | None:
         """Ask the module, offer where it says, answer what it decides; where and when the task stands."""
         task = self.task
+        if any(isinstance(word, GivenUp) for word in self._words):
+            self._answered = True  # taken back in the moment it came: the module has nothing to decide
+            self._core.unanswered -= 1
+            return None
         self._driver.post(i.RequestArrived(
             self.id, task.class_index, task.deadline_us, task.service, task.cores, task.memory,
             task.key, task.tenant, None, task.again))
--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -6,7 +6,7 @@
 import socket
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -38,24 +38,36 @@
         self._flush_soon = False
         self.closed = self.reset = False
         self.heard = time.monotonic()
+        self.owed_since = 0.0  # since when the rest of a message that has begun is awaited
         stream.set_nodelay(True)
 
-    async def pump(self, parse: Callable[[Ring], object], handle: Callable[[object], None]) -> None:
-        """Hand on each message until the connection ends; then give it back."""
+    async def pump(self, parse: Callable[[Ring], object], handle: Callable[[object], None],
+                   turn_away: Callable[[], Awaitable[None]] | None = None) -> None:
+        """Hand on each message until the connection ends; then give it back.
+
+        `turn_away` comes between a message that can't be read and the close; nothing more is read.
+        """
         try:
             while not self.closed:
                 count = await self._stream.read_into(self._in.room(), partial=True)
                 self._in.filled(count)
                 self.heard = time.monotonic()
                 while not self.closed and (message := parse(self._in)) is not None:
+                    self.owed_since = 0.0
                     handle(message)
                 if len(self._in) > MESSAGE_MOST:
                     raise Malformed(f"a message over {MESSAGE_MOST} bytes")
+                if not len(self._in):
+                    self.owed_since = 0.0
+                elif not self.owed_since:
+                    self.owed_since = self.heard
         except StreamClosedError as end:
             self.reset = isinstance(end.real_error, ConnectionResetError)
         except Malformed as fault:
             if not self.closed:
                 self._log(f"{self.name}: closed: {fault}")
+                if turn_away is not None:
+                    await turn_away()
         except Exception:
             # Guards the process against a fault of ours in one message: that connection alone ends.
             self._log(f"{self.name}: closed: " + traceback.format_exc().replace("\n", " | "))
--- a/weldhatch/net/listener.py
+++ b/weldhatch/net/listener.py
@@ -11,6 +11,7 @@
 from weldhatch.net.budget import Share
 
 BACKLOG = 512
+TURN = 16  # connections accepted in one turn of the loop: those that are open are served in between
 
 
 class Listener:
@@ -33,7 +34,7 @@
             asyncio.get_running_loop().add_reader(self._socket.fileno(), self._ready)
 
     def _ready(self) -> None:
-        while self._open:
+        for _ in range(TURN):
             if not self._share.take():
                 self._pause()
                 return
@@ -46,7 +47,7 @@
             self._taken(IOStream(accepted), peer[0])
 
     def _pause(self) -> None:
-        """No slot is left: ask for idle ones back, and go on once one is free."""
+        """No slot is left: go on once one is free, and say so to whoever can free one."""
         asyncio.get_running_loop().remove_reader(self._socket.fileno())
         self._share.when_free(self._resume)
         self._full()
--- a/weldhatch/net/ring.py
+++ b/weldhatch/net/ring.py
@@ -2,28 +2,49 @@
 
 from __future__ import annotations
 
+SMALL = 2048  # what a ring starts with, and goes back to once it is empty
+
 
 class Ring:
-    """Bytes in order, never more than `capacity`. Space is handed out and data read without copies."""
+    """Bytes in order, never more than `capacity`. Space is handed out and data read without copies.
+
+    The space is taken as the data asks for it and given back once the ring is empty. Guards against
+    connections by hundreds that say little: whole rings for all of them would use up the memory.
+    """
 
-    __slots__ = ("_buffer", "_head", "_size", "_view", "capacity")
+    __slots__ = ("_buffer", "_head", "_length", "_size", "_view", "capacity")
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
-        self._buffer = bytearray(capacity)
-        self._view = memoryview(self._buffer)
-        self._head = self._size = 0
+        self._size = 0
+        self._take_space(0)
+
+    def _take_space(self, length: int) -> None:
+        """Go on in a space of that length, with the data at its start."""
+        buffer = bytearray(length)
+        if self._size:
+            buffer[:self._size] = self.copy(self._size)
+        self._buffer, self._view, self._head, self._length = buffer, memoryview(buffer), 0, length
+
+    def _grow(self, need: int) -> None:
+        length = max(self._length, min(SMALL, self.capacity))
+        while length < need:
+            length = min(2 * length, self.capacity)
+        if length != self._length:
+            self._take_space(length)
 
     def __len__(self) -> int:
         return self._size
 
     def room(self) -> memoryview:
         """The free space that follows the data in one piece; empty only where the ring is full."""
+        if self._size == self._length and self._length < self.capacity:
+            self._grow(self._size + 1)
         if not self._size:
             self._head = 0
         tail = self._head + self._size
-        if tail >= self.capacity:
-            return self._view[tail - self.capacity:self._head]
+        if tail >= self._length:
+            return self._view[tail - self._length:self._head]
         return self._view[tail:]
 
     def filled(self, count: int) -> None:
@@ -34,6 +55,7 @@
         """Append all of the data, or nothing and False where it does not fit."""
         if len(data) > self.capacity - self._size:
             return False
+        self._grow(self._size + len(data))
         at = 0
         while at < len(data):
             room = self.room()
@@ -45,13 +67,13 @@
 
     def front(self) -> memoryview:
         """The first data in one piece; what has wrapped round follows once this is dropped."""
-        return self._view[self._head:min(self._head + self._size, self.capacity)]
+        return self._view[self._head:min(self._head + self._size, self._length)]
 
     def find(self, mark: bytes, start: int = 0) -> int:
         """How many bytes stand before the one-byte mark, from `start` on; -1 where there is none."""
-        wrap = self.capacity - self._head
+        wrap = self._length - self._head
         if start < wrap:
-            at = self._buffer.find(mark, self._head + start, min(self._head + self._size, self.capacity))
+            at = self._buffer.find(mark, self._head + start, min(self._head + self._size, self._length))
             if at >= 0:
                 return at - self._head
         if self._size > wrap:
@@ -63,18 +85,20 @@
     def copy(self, count: int, start: int = 0) -> bytes:
         """So many bytes from `start` on, which stay in the ring."""
         first = self._head + start
-        if first >= self.capacity:
-            first -= self.capacity
+        if first >= self._length:
+            first -= self._length
         last = first + count
-        if last <= self.capacity:
+        if last <= self._length:
             return bytes(self._view[first:last])
-        return bytes(self._view[first:]) + bytes(self._view[:last - self.capacity])
+        return bytes(self._view[first:]) + bytes(self._view[:last - self._length])
 
     def drop(self, count: int) -> None:
         self._head += count
-        if self._head >= self.capacity:
-            self._head -= self.capacity
+        if self._head >= self._length:
+            self._head -= self._length
         self._size -= count
+        if not self._size and self._length > SMALL:
+            self._take_space(0)
 
     def take(self, count: int) -> bytes:
         data = self.copy(count)
--- a/weldhatch/platform/jsonl.py
+++ b/weldhatch/platform/jsonl.py
@@ -8,6 +8,7 @@
 from weldhatch.net.connection import Malformed
 from weldhatch.net.ring import Ring
 
+OPENS = (b"{", b" ", b"\t", b"\r", b"\n")
 _ESCAPED = json.JSONEncoder(separators=(",", ":"), ensure_ascii=False).encode
 
 
@@ -22,6 +23,8 @@
 
 def parse(ring: Ring) -> Line | None:
     """The next line of the ring, or None where it is not whole yet."""
+    if len(ring) and ring.copy(1) not in OPENS:
+        raise Malformed("a line that is no object")  # at once: nothing is kept of it until its end
     end = ring.find(b"\n")
     if end < 0:
         return None
--- a/weldhatch/platform/owners.py
+++ b/weldhatch/platform/owners.py
@@ -22,7 +22,14 @@
 
 REFUSED, FAILED = 42, 47  # the causes of the two final answers that are not 'placed'
 ENDING_WAIT_US = 1_000_000  # when to come back, for what reaches a dispatcher that ends
-IDLE_S = 6.0  # owners close what idles for 4 s; past this we may do it where descriptors run short
+IDLE_S = 6.0  # owners close what idles for 4 s; past this we do it
+WHOLE_S = 2.0  # a connection that has brought no whole message by then is closed
+SWEEP_S = 0.2
+AWAY_S = 0.4  # a client that was turned away waits for the close so long: none comes again at full speed
+OPEN_MOST = 64  # set-ups open on one connection; more are refused, which harms none
+TAKEN_BACK_S = 0.02
+BACK_MOST = 16  # set-ups that a connection may take back in the moment it asks for them
+EVICTED = 16  # connections closed at a time where no descriptor is left
 
 
 class OwnerLink:
@@ -31,23 +38,58 @@
     def __init__(self, front: Owners, connection: Connection, host: str) -> None:
         self.front, self.connection, self.host = front, connection, host
         self.open: dict[str, Asked] = {}
+        self.standing = 0  # tasks that stand and were asked for here
+        self.taken_back = 0
         self.used = time.monotonic()
+        self.spoke = self.asked = self.away = False  # a whole message came, a set-up came, turned away
 
     async def run(self) -> None:
         try:
-            await self.connection.pump(jsonl.parse, self._handle)
+            await self.connection.pump(jsonl.parse, self._handle, self._turn_away)
         finally:
-            for asked in list(self.open.values()):
-                asked.life.tell(ports.GivenUp())
+            self._give_up()
             self.front.links.discard(self)
 
+    def _give_up(self) -> None:
+        for asked in list(self.open.values()):
+            asked.given_up()
+
+    async def _turn_away(self) -> None:
+        """Guards against a client that comes again as soon as it is closed, at the cost of all others."""
+        self.away = True
+        self._give_up()
+        await asyncio.sleep(AWAY_S)
+
+    def due(self, now: float) -> str | None:
+        """Why the connection is to be closed now, if it is: '' where that is nothing to tell of."""
+        if self.away or self.open:
+            return None
+        if self.connection.owed_since and now - self.connection.owed_since > WHOLE_S:
+            return "closed: a message without an end"
+        if not self.spoke:
+            return "" if now - self.used > WHOLE_S else None
+        return "" if not self.standing and now - self.used > IDLE_S else None
+
+    def price(self, now: float) -> tuple[int, float] | None:
+        """What closing it costs its owner, where descriptors run short; None where it must stay."""
+        idle = now - self.used
+        if self.away:
+            return 0, self.used
+        if not self.spoke:  # its first message may be on its way
+            return (1, self.used) if idle > SWEEP_S else None
+        if self.open or idle < SWEEP_S:
+            return None
+        if self.standing:
+            return (4, self.used) if idle > IDLE_S else None
+        return (3 if self.asked else 2), self.used
+
     def _handle(self, line: jsonl.Line) -> None:
-        self.used = time.monotonic()
+        self.used, self.spoke = time.monotonic(), True
         match line.verb:
             case "START":
                 self.front.start(self, line)
             case "FINISH":
-                self.front.finish(line)
+                self.front.finish(self, line)
             case "ECHO":
                 self.connection.send(jsonl.encode("ECHOED", line.tag, {}, 1))
                 self.front.flush(self)
@@ -63,11 +105,29 @@
     def __init__(self, front: Owners, link: OwnerLink, tag: str) -> None:
         self._front, self._link, self._tag = front, link, tag
         self.life: Life | None = None
-        self.stands = False
+        self.stands = self.gone = False
+        self.came = time.monotonic()
+
+    def stand(self) -> None:
+        self.stands = True
+        self._link.standing += 1
+
+    def given_up(self) -> None:
+        """Its owner waits no more, or has gone."""
+        self.gone = True
+        self._link.open.pop(self._tag, None)
+        self._front.forget(self._tag)
+        self.life.tell(ports.GivenUp())
+
+    def forgotten(self) -> None:
+        if self.stands:
+            self._link.standing -= 1
 
     def placed(self, description: str | None) -> None:
+        if self.gone:  # the answer crossed the end of its owner's interest
+            return
         self._link.open.pop(self._tag, None)
-        self.stands = True
+        self.stand()
         self._link.connection.send(jsonl.encode("STARTED", self._tag, {}, None, description))
 
     def refused(self, wait_us: int) -> None:
@@ -82,10 +142,13 @@
         self._link.connection.send(jsonl.encode("FINISH", self._tag, fields, cause))
 
     def released(self, cause: int) -> None:
+        if self.gone:
+            return
         self._front.forget(self._tag)
         self._front.relay(self._link, jsonl.encode("FINISH", self._tag, {}, cause))
 
     def moved(self) -> None:
+        self._front.forget(self._tag)
         self._front.relay(self._link, jsonl.encode("MOVE", self._tag, {}))
 
 
@@ -94,11 +157,12 @@
 
     def __init__(self, settings: i.Settings, core: Core, share: Share, log: Callable[[str], None]) -> None:
         self._core, self._share, self._log = core, share, log
-        self._form = Form(settings)
+        self._form = Form(settings, strict=True)
         self.links: set[OwnerLink] = set()
         self._asked: dict[str, Asked] = {}
         self._unsent: list[bytes] = []  # releases that no connection was open for
         self._tasks: set[asyncio.Task] = set()
+        self._sweeping = asyncio.get_running_loop().create_task(self._sweep())
         self.ending = False  # the planned end: what comes now is refused at once
 
     def taken(self, stream: IOStream, host: str) -> None:
@@ -118,28 +182,33 @@
                 raise Malformed(f"the tag {line.tag} is in use")
             return  # it names a task that is held here already
         asked = self._asked[line.tag] = Asked(self, link, line.tag)
-        if self.ending and not at:
-            asked.refused(ENDING_WAIT_US)
-        elif at:
-            asked.stands = True
+        link.asked = True
+        if at:
+            asked.stand()
             asked.life = self._core.adopt(task, number_of(at), asked)
+        elif self.ending or len(link.open) >= OPEN_MOST:
+            asked.refused(ENDING_WAIT_US)
         else:
             link.open[line.tag] = asked
             asked.life = self._core.arrive(task, asked)
 
-    def finish(self, line: jsonl.Line) -> None:
+    def finish(self, link: OwnerLink, line: jsonl.Line) -> None:
         asked = self._asked.get(line.tag)
         if asked is None:
             return
         if asked.stands:
             asked.life.tell(ports.Released(line.cause if line.cause is not None else ports.GIVEN_UP))
-        else:
-            asked._link.open.pop(line.tag, None)
-            asked.life.tell(ports.GivenUp())
-        self.forget(line.tag)
+            self.forget(line.tag)
+            return
+        asked.given_up()
+        # Guards against hundreds of set-ups that are taken back at once: nobody can answer them.
+        link.taken_back += time.monotonic() - asked.came < TAKEN_BACK_S
+        if link.taken_back > BACK_MOST:
+            raise Malformed("it takes back what it asks for at once")
 
     def forget(self, tag: str) -> None:
-        self._asked.pop(tag, None)
+        if asked := self._asked.pop(tag, None):
+            asked.forgotten()
 
     def relay(self, link: OwnerLink, data: bytes) -> None:
         """A release may go out on any connection of its owner, or on the next one that is opened."""
@@ -160,14 +229,31 @@
                 self._unsent = unsent[n:] + self._unsent
                 return
 
-    def close_idle(self) -> None:
-        """Descriptors run short: a connection with no open set-up may be closed."""
+    def make_room(self) -> None:
+        """No descriptor is left: close the connections that lose least by it.
+
+        Guards against connections that say nothing, or ask once and stay: they would keep all others out.
+        """
         now = time.monotonic()
-        for link in list(self.links):
-            if not link.open and now - link.used > IDLE_S:
-                link.connection.close()
+        priced = [(price, n, link) for n, link in enumerate(self.links) if (price := link.price(now))]
+        for _, _, link in sorted(priced)[:EVICTED]:
+            link.connection.close()
+
+    async def _sweep(self) -> None:
+        """Close what says nothing, stops within a message, or has idled for long."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = time.monotonic()
+            for link in list(self.links):
+                if (why := link.due(now)) is not None:
+                    if why:
+                        self._log(f"{link.connection.name}: {why}")
+                    link.connection.close()
+            if self._share.held >= self._share.most:
+                self.make_room()
 
     def close(self) -> None:
+        self._sweeping.cancel()
         for link in list(self.links):
             link.connection.close()
 
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -33,6 +33,9 @@
 KEPT = 4  # programs that a machine is thought to keep after our last task of theirs
 SUSPECT_US, SUSPECT_MOST_US = 5_000_000, 40_000_000  # a failed start has its machine drawn last; doubles
 ANY = -1  # a suspect for any class
+FAULTS = 3  # errors and broken answers, with none placed in between, that make a machine a suspect
+FAULT_US = 200_000  # what fails within so long is one fault: a connection takes all that is out on it along
+ERRORS_MOST = 2  # machines that answer a request with an error: it is the request, not they
 REFUSED_TWICE = 2  # refusals of a request for want of room: one may be bad luck
 REFUSED_US = 1_000_000  # a refusal for want of room speaks for this long
 LEAVING_US = 6_000_000  # a machine that sends tasks away or takes none counts as draining for this long
@@ -297,7 +300,7 @@
                 n.line += 1 / n.line
             n.no_offer(r)
             n.run(r, 1, self._now, LIST_LAG_US)
-            n.silent = False
+            n.silent, n.faults = False, 0
 
     def _ended(self, e: AttemptEnded) -> None:
         r, n = self._requests.get(e.request), self._nodes.get(e.machine)
@@ -317,8 +320,11 @@
             if e.outcome not in PROOF and r.maybe is None:
                 r.maybe = r.sent[e.attempt]
         self._held.end(r.service, n, ran=e.outcome not in PROOF)
+        r.errors += e.outcome is Outcome.ERROR
         if e.closed or r.answered:
             self._forget(r)
+        elif r.errors >= ERRORS_MOST:
+            self._answer(r)
         elif e.outcome is Outcome.FULL or self._now >= r.deadline - self._early:
             self._blocked(r)
         else:
@@ -338,7 +344,13 @@
     def _judge(self, r: Request, n: Node, e: AttemptEnded) -> None:
         """What the end of an offer that was not placed tells of its machine."""
         untold = e.outcome is Outcome.FULL and e.reason == Reason.NOT_TOLD
-        if untold or e.outcome in (Outcome.ERROR, Outcome.RESET):
+        # Guards against requests that no machine can use, and answers spoilt on their way: one tells of
+        # itself, not of the machine.
+        fault = (e.outcome in (Outcome.ERROR, Outcome.RESET) and not r.errors
+                 and self._now - n.fault_at > FAULT_US)
+        if fault:
+            n.faults, n.fault_at = n.faults + 1, self._now
+        if untold or (fault and n.faults >= FAULTS):
             kind = r.kind if untold else ANY  # full without want of room may be meant for the class alone
             until, wait = n.suspects.get(kind, (0, 0))
             wait = min(2 * wait, SUSPECT_MOST_US) if self._now < until + wait else SUSPECT_US
--- a/weldhatch/setups.py
+++ b/weldhatch/setups.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from weldhatch import interface as i
 
+LEFT_MOST = 10  # an owner that waits for more than so many times its class's limit is not believed
+_HEX = re.compile(r"[0-9a-fA-F]{1,32}")
+
 
 class FieldError(ValueError):
     """A set-up that can't be used; `field` says where."""
@@ -37,8 +41,13 @@
 class Form:
     """Reads set-ups under one deployment's classes and tenants."""
 
-    def __init__(self, settings: i.Settings) -> None:
-        self._settings = settings
+    def __init__(self, settings: i.Settings, strict: bool = False) -> None:
+        """Strict: all machines are of the told kinds, and no set-up may leave out what they need."""
+        self._settings, self._strict = settings, strict
+        # Guards against figures that no machine can bear: servers answer those with an error.
+        self._most = (max(kind.cores for kind in settings.kinds) * settings.cores_booking,
+                      max(kind.memory for kind in settings.kinds) * settings.memory_booking
+                      ) if strict and settings.kinds else (1e9, 1e9)
         self._classes = {cls.name: n for n, cls in enumerate(settings.classes)}
         self._tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
 
@@ -58,13 +67,18 @@
         tenant = _text(fields, "tenant")
         if tenant and self._tenants and tenant not in self._tenants:
             raise FieldError("tenant", f"no tenant is named {tenant!r}")
-        keyed = self._settings.classes[index].effect is i.Effect.KEYED
+        cls = self._settings.classes[index]
+        keyed = cls.effect is i.Effect.KEYED
+        if not at and left * 1000 > LEFT_MOST * cls.deadline_us:
+            raise FieldError("left", f"the unusable value {left:.0f}")
+        key, idem = _text(fields, "key"), _text(fields, "idem")
+        if self._strict and not at and not (key and (not keyed or _HEX.fullmatch(idem))):
+            raise FieldError("idem" if key else "key", "none, or not in hex digits")
         return Setup(
             class_index=index, class_name=name, tenant=self._tenants.get(tenant, 0),
-            left_us=int(left * 1000), key=_hex("key", _text(fields, "key")), name=_text(fields, "key"),
-            idem=_text(fields, "idem") if keyed else "",
-            cores=_figure("extras.cores", extras.get("cores", "")),
-            memory=_figure("extras.memory", extras.get("memory", "")),
+            left_us=int(left * 1000), key=_hex("key", key), name=key, idem=idem if keyed else "",
+            cores=_figure("extras.cores", extras.get("cores", ""), self._most[0]),
+            memory=_figure("extras.memory", extras.get("memory", ""), self._most[1]),
             service=_hex("extras.service", extras.get("service", "")), at=at,
             again=bool(_text(fields, "retry").strip("0")))
 
@@ -79,21 +93,17 @@
     return text
 
 
-def _figure(field: str, text: str) -> float:
+def _figure(field: str, text: str, most: float = 1e9) -> float:
     try:
         value = float(text)
     except ValueError:
         value = -1.0
-    if not 0 <= value < 1e9:  # also false for what is no number at all
+    if not 0 <= value <= most:  # also false for what is no number at all
         raise FieldError(field, f"the unusable value {text!r}")
     return value
 
 
 def _hex(field: str, text: str) -> int:
-    try:
-        value = int(text or "0", 16)
-    except ValueError:
-        value = -1
-    if not 0 <= value < 1 << 64:
+    if text and not (len(text) <= 16 and _HEX.fullmatch(text)):
         raise FieldError(field, f"the unusable value {text!r}")
-    return value
+    return int(text or "0", 16)
--- a/weldhatch/state.py
+++ b/weldhatch/state.py
@@ -50,6 +50,7 @@
         self.poor = 0  # until when told service there counts as poor
         self.wait = self.recheck = 0  # of a silent machine: the last wait, and until when
         self.suspects: dict[int, tuple[int, int]] = {}  # by class: until when, after a wait of how long
+        self.faults, self.fault_at = 0, NEVER  # errors and broken answers since the last task was placed
         self.refused = (0, 0.0, 0.0)  # until when, and from which cores and memory on
 
     def offer(self, r: Request, now: int) -> None:
@@ -82,6 +83,7 @@
         self.placed: int | None = None  # the attempt that holds the task
         self.maybe: tuple[Machine, int] | None = None  # the first attempt that may have run
         self.refused = 0  # for want of room
+        self.errors = 0  # machines that answered with an error
         self.answered, self.holds, self.turn = False, 0, 0  # a timer of an older turn is void
         self.ranked: list[Node] = []  # machines by rank for its service, as of the list's version
         self.ranked_at = -1
