Close a server's connection that is out of step, and forget servers that have gone

Three paths were wrong. Link._handle took a set-up off the link before it had read the whole answer, so one that could not be read left its request without an end until its time was up. An answer without a description, or that went on with the next message, was passed on as good. One that stopped short held its connection until something else came. Links, list entries and unclaimed releases were never forgotten, and a link kept connecting to the address of a uid whose address had passed on.

Now a message is read whole first and is strict (types, codes, finite figures, a description that is text); one that stops within a message for 0.4 s is closed; a server that has gone is forgotten once nothing of it is left, unclaimed releases after 10 s; nothing goes to an address under a uid that has lost it. Ruled out: changes to what happens with second copies and unknown ids; a test shows that they are ignored.

--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,110 @@
+"""Scenarios of servers that spoil their answers, and of servers that come and go."""
+
+import unittest
+import unittest.mock
+
+from scenario import Scenario, tag
+
+from weldhatch.core import ports
+from weldhatch.interface import Outcome
+from weldhatch.platform import binary, servers
+from weldhatch.platform.fleet import number_of
+from weldhatch.platform.servers import Names
+
+SEND = "owner send START {0} class={1}\ns1 expect SET_UP {0}\n"
+GOOD = binary.encode(binary.ANSWER, tag("a1"), {binary.DESCRIPTION: b"v=0 s=9"})
+
+
+class BadPeers(Scenario):
+    def write(self, data):
+        self.parties["s1"].writers[-1].write(data)
+
+    async def test_a_spoilt_answer_is_no_answer_and_ends_all_that_was_open_on_its_connection(self):
+        """Guards against a set-up that is taken from its link by what can not be read."""
+        cut = GOOD[:-4] + binary.encode(binary.TEST, tag("t1"), {binary.CAUSE: b"\0"})
+        spoilt = [
+            b"\xff\xf3" + GOOD[2:], b"\0\4" + GOOD[2:], GOOD[:2] + b"\x7b" + GOOD[3:], cut,
+            binary.encode(binary.ANSWER, tag("a1"), {}), binary.encode(binary.SET_UP, tag("a1"), {}),
+            binary.encode(binary.ANSWER, tag("a1"), {binary.DESCRIPTION: b"\xb3\xfc"}),
+            binary.encode(binary.ANSWER, tag("a1"), {binary.DESCRIPTION: b"v=0\0"}),
+            binary.encode(binary.ANSWER, tag("a1"), {3: b"", binary.DESCRIPTION: b"v=0"}),
+            binary.encode(binary.RELEASE, tag("a1"), {}),
+            binary.encode(binary.RELEASE, tag("a1"), {binary.CAUSE: b"\x22", binary.REPORT: b"x0:nan;x1:1"}),
+            binary.encode(binary.NOTE, tag("a1"), {binary.TOPIC: b"cores", binary.FIGURE: b"nan"}),
+        ]
+        for data in spoilt:
+            self.logged.clear()
+            await self.play(SEND.format("a1", "unsafe") + SEND.format("a2", "unsafe"))
+            self.write(data)
+            await self.play("owner expect FINISH a1 cause=47\nowner expect FINISH a2 cause=47")
+            self.assertTrue(any("closed" in text for text in self.logged), (data, self.logged))
+        self.assertTrue(self.parties["owner"].heard.empty())
+
+    async def test_an_answer_that_stops_short_ends_its_connection_long_before_the_deadline(self):
+        await self.play(SEND.format("a1", "unsafe"))
+        self.write(GOOD[:-4])
+        await self.play("owner expect FINISH a1 cause=47")
+        self.assertTrue(any("stops within a message" in text for text in self.logged), self.logged)
+
+    async def test_what_a_spoilt_answer_took_along_is_sent_again_only_where_its_class_allows(self):
+        await self.play(SEND.format("a1", "safe") + SEND.format("a2", "unsafe"))
+        self.write(b"\xff\xff\xff")
+        await self.play("owner expect FINISH a2 cause=47\ns1 expect SET_UP a1\ns1 send ANSWER a1 | v=0 s=9")
+        await self.play("owner expect STARTED a1 | v=0 s=9")
+
+    async def test_second_copies_and_answers_under_unknown_ids_are_ignored(self):
+        await self.play(SEND.format("a1", "unsafe"))
+        other = binary.encode(binary.ANSWER, tag("zz"), {binary.DESCRIPTION: b"v=0"})
+        release = binary.encode(binary.RELEASE, tag("a1"), {binary.CAUSE: b"\x10"})
+        self.write(other + GOOD + GOOD)
+        await self.play("owner expect STARTED a1 | v=0 s=9")
+        self.write(release + GOOD + release)
+        await self.play("owner expect FINISH a1 cause=16\n" + SEND.format("a2", "unsafe"))
+        self.assertTrue(self.parties["owner"].heard.empty())
+        self.assertFalse(self.parties["s1"].closed.is_set())
+
+    async def test_a_release_that_nobody_claims_is_kept_for_a_while_only(self):
+        await self.play(SEND.format("a1", "unsafe"))
+        with unittest.mock.patch.object(servers, "UNCLAIMED_S", 0.2):
+            self.write(binary.encode(binary.RELEASE, tag("zz"), {binary.CAUSE: b"\x10"}))
+            await self.until(lambda: self.gateway.servers._unclaimed, "the release was kept")
+            await self.until(lambda: not self.gateway.servers._unclaimed, "it was dropped")
+
+
+class ComingAndGoing(Scenario):
+    async def test_nothing_is_kept_of_servers_that_have_gone(self):
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        await self.play(SEND.format("a1", "unsafe") + "s1 send ANSWER a1\nowner expect STARTED a1")
+        target = self.target("s1")
+        for n in range(5):  # one address, one server after the other
+            self.bus.add([{**target, "state": "gone"}, {**target, "uid": f"u-{n}"}])
+            target = {**target, "uid": f"u-{n}"}
+        await self.until(lambda: self.gateway.fleet.offset == 6, "the events were taken")
+        await self.play("owner expect FINISH a1 cause=41")
+        await self.until(lambda: set(self.gateway.servers._links) == {number_of("u-4")}, "one link is left")
+        self.assertEqual({number_of("u-4")}, set(self.gateway.fleet.servers))
+        self.bus.add([target])  # the module forgets machines that hold nothing with the next word of the list
+        await self.until(lambda: set(self.gateway.driver._policy._nodes) == {number_of("u-4")}, "one node")
+        await self.play(SEND.format("a2", "unsafe") + "s1 send ANSWER a2\nowner expect STARTED a2")
+
+    async def test_what_waits_for_a_connection_is_not_sent_to_the_next_server_at_the_address(self):
+        """Guards against a set-up that goes to a server it was not offered to, under another's uid."""
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        gateway, told = self.gateway.servers, []
+        names = Names(tag("a1"), "unsafe", "7", "", "v=0")
+        task = ports.Task("a1", 2, 9, 1.0, 1.0, 0, passed_on=names)
+        teller = unittest.mock.Mock(tell=told.append)
+        gateway.offer(number_of("u-s1"), task, 0, 1_000_000, teller)
+        new = {**self.target("s1"), "uid": "u-new"}
+        self.gateway._told({"offset": 2, "topology": {"rev": 2, "targets": [
+            self.target("s1", "draining"), new]}})
+        gateway.offer(number_of("u-s1"), task, 1, 1_000_000, teller)
+        self.assertEqual([(0, Outcome.CONNECT_FAILED), (1, Outcome.NOT_SENT)],
+                         [(end.attempt, end.outcome) for end in told])
+        gateway.give_up(number_of("u-never"), task)
+        gateway.release(number_of("u-never"), task, 16)
+        await self.play(SEND.format("a2", "unsafe"))  # the first that the new server hears of
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/weldhatch/platform/binary.py
+++ b/weldhatch/platform/binary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import struct
 from dataclasses import dataclass, field
 
@@ -11,9 +12,13 @@
 SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, NOTE, MOVE, TEST, TESTED = 1, 6, 9, 12, 16, 44, 51, 52, 53
 CLASS, LEFT, NAME, TOPIC, REPORT, FIGURE, KEY, CAUSE, DESCRIPTION = 64, 65, 68, 71, 73, 76, 77, 78, 79
 
+TYPES = frozenset((SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, NOTE, MOVE, TEST, TESTED))
+CODES = range(64, 80)
+
 _LENGTH = struct.Struct(">H")
 _HEAD = struct.Struct(">HB8s")
 _PARAMETER = struct.Struct(">BH")
+_CONTROL = re.compile("[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 
 
 @dataclass(slots=True)
@@ -30,8 +35,22 @@
         return value[0]
 
     def text(self, code: int) -> str:
+        return self._text(code, self.parameters.get(code, b""))
+
+    @property
+    def description(self) -> str:
+        """Guards against what was cut short and went on with the next message: that is no text."""
+        if DESCRIPTION not in self.parameters:
+            raise Malformed(f"a message of type {self.type} without a description")
+        text = self._text(DESCRIPTION, self.parameters[DESCRIPTION])
+        if _CONTROL.search(text):
+            raise Malformed("a description with control characters")
+        return text
+
+    @staticmethod
+    def _text(code: int, value: bytes) -> str:
         try:
-            return self.parameters.get(code, b"").decode()
+            return value.decode()
         except UnicodeDecodeError:
             raise Malformed(f"parameter {code} is no text") from None
 
@@ -43,6 +62,8 @@
     (length,) = _LENGTH.unpack(ring.copy(2))
     if length < 9 or length > MESSAGE_MOST:
         raise Malformed(f"a message of {length} bytes")
+    if len(ring) > 2 and (kind := ring.copy(1, 2)[0]) not in TYPES:
+        raise Malformed(f"a message of unknown type {kind}")  # at once: nothing is kept of it
     if len(ring) < 2 + length:
         return None
     data = ring.take(2 + length)
@@ -56,6 +77,8 @@
         at += 3
         if at + size > len(data):
             raise Malformed(f"parameter {code} is cut short")
+        if code in parameters or code not in CODES:
+            raise Malformed(f"parameter {code} is unknown or comes twice")
         parameters[code] = data[at:at + size]
         at += size
     return Message(kind, tag, parameters)
--- a/weldhatch/platform/fleet.py
+++ b/weldhatch/platform/fleet.py
@@ -59,6 +59,9 @@
                         if old.machine not in named]
         self.servers.update((server.machine, server) for server in servers)
         self._changed(servers)
+        for server in servers:  # what has gone is told of as new if it ever comes back
+            if server.state == i.MachineState.GONE:
+                del self.servers[server.machine]
         names = ", ".join(f"{server.uid} {server.state.name.lower()}" for server in servers)
         self._log(f"event bus: event {offset}: {names}")
         form = i.ListForm.CACHED if first and whole else i.ListForm.FULL if whole else i.ListForm.DELTA
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,10 +18,11 @@
 QUIET_S = 1.5  # a server with tasks of ours that says nothing for so long is sent a test
 SILENT_S = 0.5  # one that leaves a message unanswered, and says nothing, for so long is tried
 WATCH_S = 0.1
+HALF_S = 0.4  # one that stops within a message for so long has lost its step
 STALL_S = 0.3  # a watch that comes so late tells of us, not of the servers
 LOST_TRIES = 2  # connects that never come up: the machine has vanished
 EXCUSES_MOST = 4  # connects that do come up while the old connection stays silent: it is given up
-UNCLAIMED_MOST = 4096  # releases of tasks that no owner has named yet
+UNCLAIMED_MOST, UNCLAIMED_S = 4096, 10.0  # releases of tasks that no owner has named yet, and how long
 BEFORE = {34: i.Outcome.FULL, 47: i.Outcome.ERROR, 102: i.Outcome.NOT_SENT}  # any other: a reset
 AFTER = {16: i.Outcome.OK, 31: i.Outcome.CANCELLED}
 TOPICS = {"runs": 1, "cores": 2, "memory": 3, "served": 4, "pressure": 5}
@@ -62,6 +64,7 @@
         self._asked = 0.0  # when the first message since the last sign of life went out
         self._trial: asyncio.Task | None = None
         self._excuses = 0
+        self.replaced = False  # another server has the address: nothing goes there under this uid
 
     def send(self, name: object, data: bytes) -> None:
         if self._up is not None and not self._up.closed:
@@ -109,7 +112,8 @@
                     return
                 await asyncio.sleep(0.02 if not tries else 0.2)
         finally:
-            self._connecting = None
+            if self._connecting is asyncio.current_task():
+                self._connecting = None
 
     def drop(self, why: str) -> None:
         if self._up is not None and not self._up.closed:
@@ -139,6 +143,20 @@
             timer.cancel()
             done(outcome, ())
 
+    def replace(self) -> None:
+        """Another server has the address now: all that was meant for this one is over."""
+        self.replaced = True
+        self.lose("has lost its address")
+        self._end_open(i.Outcome.RESET)
+        self._never_up()
+        self.close()
+
+    @property
+    def over(self) -> bool:
+        """Whether the machine is gone and nothing is left to hear of it."""
+        return self.server.state == i.MachineState.GONE and not (
+            self.out or self.standing or self.probes or self._pending)
+
     def lose(self, why: str, before: float = float("inf")) -> None:
         """The tasks that stood there are cut: those that stood before that moment."""
         cut = {tag: held for tag, held in self.standing.items() if held.since < before}
@@ -152,12 +170,17 @@
         """Guards against our own stalls: what a server said during one is not read yet."""
         if self._asked:
             self._asked = now
+        if self._up is not None and self._up.owed_since:
+            self._up.owed_since = now
 
     def watch(self, now: float) -> None:
         """Guards against a machine that vanished: it gives no sign, so its silence must be noticed."""
         up = self._up
         if up is None or up.closed:
             return
+        if up.owed_since and now - up.owed_since > HALF_S:
+            self.drop("stops within a message")
+            return
         if self._asked and self._asked >= up.heard:
             if now - self._asked > SILENT_S and self._trial is None:
                 self._trial = asyncio.get_running_loop().create_task(self._try(up))
@@ -194,22 +217,22 @@
             self._trial.cancel()
         if self._connecting is not None:
             self._connecting.cancel()
+            self._connecting = None
         if self._up is not None:
             self._up.close()
 
-    def close_idle(self) -> None:
-        if not (self.out or self.standing or self.probes or self._pending) and self._up is not None:
-            self._up.close()
-
     # ---- what a server says --------------------------------------------------------------------------------
 
     def _handle(self, message: b.Message) -> None:
         match message.type:
             case b.ANSWER:
+                # All of a message is read before anything is taken from it: what can't be read ends the
+                # connection, and then each set-up open on it must still be there to get its end.
+                description = message.description
                 if held := self.out.pop(message.tag, None):
                     self.standing[message.tag] = held
                     held.since = time.time()
-                    held.teller.tell(ports.Answered(held.attempt, message.text(b.DESCRIPTION)))
+                    held.teller.tell(ports.Answered(held.attempt, description))
             case b.RELEASE:
                 self._release(message)
             case b.NOTE:
@@ -218,17 +241,17 @@
                 if held is not None and topic is not None:
                     held.teller.tell(ports.Noted(held.attempt, topic, _number(message.text(b.FIGURE))))
             case b.TESTED:
+                report, passed = self._servers.report(message), message.cause == 1
                 if probe := self.probes.pop(message.tag, None):
                     done, timer = probe
                     timer.cancel()
-                    report = self._servers.report(message)
-                    done(i.Outcome.OK if message.cause == 1 else i.Outcome.FULL, report)
+                    done(i.Outcome.OK if passed else i.Outcome.FULL, report)
             case b.TEST:
                 self._up.send(b.encode(b.TESTED, message.tag, {b.CAUSE: b"\1"}))
             case b.PROGRESS | b.RELEASE_HEARD:
                 pass
             case _:
-                raise Malformed(f"a message of unknown type {message.type}")
+                raise Malformed(f"a message of type {message.type}, which no server sends")
 
     def _release(self, message: b.Message) -> None:
         cause, reason = message.cause, REASONS.get(message.text(b.TOPIC), 0)
@@ -252,7 +275,7 @@
         self._fields, self._share = settings.report_fields, share
         self._dial_s, self._probe_s, self.log = dial_s, probe_s, log
         self._links: dict[int, Link] = {}
-        self._unclaimed: dict[bytes, ports.Ended] = {}
+        self._unclaimed: dict[bytes, tuple[float, ports.Ended]] = {}  # the oldest first
         self._tests = 0
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
@@ -263,10 +286,12 @@
         for server in servers:
             link = self._links.get(server.machine)
             if link is None:
-                self._links[server.machine] = Link(self, server)
-                self._passed_on(server)
+                if server.state != i.MachineState.GONE:
+                    self._links[server.machine] = Link(self, server)
+                    self._passed_on(server)
                 continue
             old, link.server = link.server, server
+            link.replaced = link.replaced and server.state == i.MachineState.GONE
             self._passed_on(server)
             if server.endpoint != old.endpoint and server.state != i.MachineState.GONE:
                 link.drop("has a new address")
@@ -281,8 +306,7 @@
             return
         for link in self._links.values():
             if link.server.endpoint == server.endpoint and link.server.machine != server.machine:
-                link.lose("has lost its address")
-                link.drop("its address has passed on")
+                link.replace()
 
     async def connect(self, server: Server) -> Connection:
         if not self._share.take():
@@ -294,11 +318,18 @@
         while True:
             await asyncio.sleep(WATCH_S)
             now = time.monotonic()
-            for link in list(self._links.values()):
-                if now - last > WATCH_S + STALL_S:
+            for machine, link in list(self._links.items()):
+                if link.over:  # it has told all it had to tell
+                    link.close()
+                    del self._links[machine]
+                elif now - last > WATCH_S + STALL_S:
                     link.excuse(now)
                 else:
                     link.watch(now)
+            for tag, (came, _) in list(self._unclaimed.items()):
+                if now - came < UNCLAIMED_S:
+                    break
+                del self._unclaimed[tag]
             last = now
 
     def close(self) -> None:
@@ -310,7 +341,7 @@
 
     def offer(self, machine: int, task: ports.Task, attempt: int, wait_us: int, teller: ports.Teller) -> None:
         link, names = self._links.get(machine), task.passed_on
-        if link is None:
+        if link is None or link.replaced:
             teller.tell(ports.Ended(attempt, i.Outcome.NOT_SENT))
             return
         link.out[names.tag] = Held(attempt, teller, 0.0)
@@ -325,8 +356,8 @@
         """Its end comes on any open connection, or on the next one: one is kept open for it."""
         tag, link = task.passed_on.tag, self._links.get(machine)
         if ended := self._unclaimed.pop(tag, None):
-            teller.tell(ended)
-        elif link is None:
+            teller.tell(ended[1])
+        elif link is None or link.replaced:
             self.log(f"a task on machine {machine}, which no list has named")
             teller.tell(ports.Ended(0, i.Outcome.RESET))
         else:
@@ -334,23 +365,29 @@
             link.open()
 
     def give_up(self, machine: int, task: ports.Task) -> ports.LetGo:
-        link, tag = self._links[machine], task.passed_on.tag
-        if link.out.pop(tag, None) is not None:
+        link, tag = self._links.get(machine), task.passed_on.tag
+        if link is not None and link.out.pop(tag, None) is not None:
             if link.unsent(tag):
                 return ports.LetGo.WITHDRAWN
             link.send((tag, "up"), b.encode(b.RELEASE, tag, {b.CAUSE: bytes((ports.GIVEN_UP,))}))
         return ports.LetGo.GIVEN_UP
 
     def release(self, machine: int, task: ports.Task, cause: int) -> None:
-        self._links[machine].send((task.passed_on.tag, "end"), b.encode(
+        self._on(machine, task, "end", b.encode(
             b.RELEASE, task.passed_on.tag, {b.CAUSE: bytes((cause & 255,))}))
 
     def move(self, machine: int, task: ports.Task) -> None:
-        self._links[machine].send((task.passed_on.tag, "move"), b.encode(b.MOVE, task.passed_on.tag))
+        self._on(machine, task, "move", b.encode(b.MOVE, task.passed_on.tag))
+
+    def _on(self, machine: int, task: ports.Task, what: str, data: bytes) -> None:
+        """Word on a task that stands; where its machine holds it no more, its end is under way."""
+        link = self._links.get(machine)
+        if link is not None and task.passed_on.tag in link.standing:
+            link.send((task.passed_on.tag, what), data)
 
     def probe(self, machine: int, done: Callable[[i.Outcome, tuple[float, ...]], None]) -> None:
         link = self._links.get(machine)
-        if link is None:
+        if link is None or link.replaced:
             done(i.Outcome.CONNECT_FAILED, ())
             return
         tag = self._test_tag()
@@ -376,7 +413,7 @@
 
     def unclaimed(self, tag: bytes, ended: ports.Ended) -> None:
         """Guards against a race after a restart: the release may come before the owner names the task."""
-        self._unclaimed[tag] = ended
+        self._unclaimed[tag] = (time.monotonic(), ended)
         if len(self._unclaimed) > UNCLAIMED_MOST:
             del self._unclaimed[next(iter(self._unclaimed))]
 
@@ -392,6 +429,9 @@
 
 def _number(text: str) -> float:
     try:
-        return float(text)
+        value = float(text)
     except ValueError:
-        raise Malformed(f"a figure that is no number: {text!r}") from None
+        value = math.nan
+    if not math.isfinite(value):
+        raise Malformed(f"a figure that is no number: {text!r}")
+    return value
