Use new machines: work out how busy machines are, and let roomy ones be homes

To blame: Policy._crowded knew nothing here, where neither cores in use nor pressure is told, and _tier put any machine with the program first, so a machine without one was drawn as one of two homes at the most. _draw stopped at machines without the program, too. Ruled out by traces: slow starts (median 0.08 s), growth (memory flat at 21 MB), and late returns of lost tasks (1.6 s; moving them off a draining server would save about what its price takes).

Now cores in use are worked out from what tasks ask, as far as such tasks use that, unless memory is the scarcer; a roomy machine is a home for all services while fewer than two of our tasks wait to start there; a crowded machine comes after homes. All machines are looked at until two of these are found.

Tests in test_policy.py fail with the lines undone.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import SECOND, Driver, machines, make_class, make_settings, of
 
-from weldhatch.policy import FAULTS
+from weldhatch.policy import ABSENT, FAULTS, HOME, STARTING, _rank
 from weldhatch import (
     AttemptEnded,
     Cancel,
@@ -152,6 +152,58 @@
     assert offer.machine == 2
 
 
+def crowd(reports):
+    """Where the tasks of a service go whose program is on machines 1 and 5, those reporting what they do."""
+    driver = Driver(make_settings(classes=(make_class(calm=0.8, fade=0.15),), report_fields=("x0", "x1"),
+                                  confirms_running=False, cores_booking=2.0, memory_booking=2.0), machines(1))
+    driver.place(service=1)
+    driver.send(Placed(1, 0, 1, 1000), Note(1, 0, 1, Topic.RUNS, 0.0))
+    driver.send(MachinesChanged(ListForm.DELTA, tuple(machines(5))))
+    driver.send(TaskAdopted(1000, 0, 1, 1.0, 2.0, 5))  # a second machine with the program
+    chosen = []
+    for _ in range(30):
+        driver.wait(SECOND // 10)
+        driver.answer(driver.arrive(service=1), reports)
+        request, machine = driver.requests, of(driver.log, Offer)[-1].machine
+        driver.send(Placed(request, 0, machine, 1000), Note(request, 0, machine, Topic.RUNS, 0.0))
+        driver.send(ended(request, machine, Outcome.OK, closed=True))
+        chosen.append(machine)
+    return chosen[5:]
+
+
+def test_a_new_machine_is_used_before_a_crowded_one_that_has_the_program():
+    """Guards against new machines that stay empty while the old ones, with all programs, are crowded."""
+    empty, calm, crowded = (31.0, 62.0), (20.0, 40.0), (-24.0, 0.0)
+    assert 1 not in crowd({1: crowded, 2: empty, 3: empty, 4: empty, 5: crowded})
+    assert 1 in crowd({1: calm, 2: empty, 3: empty, 4: empty, 5: crowded})
+    *_, last = sorted((2, 3, 4), key=lambda machine: _rank(1, machine))  # no home by its rank
+    assert set(crowd({**dict.fromkeys((1, 2, 3, 4, 5), crowded), last: empty})) == {last}
+
+
+@pytest.mark.parametrize("memory, crowded", [(0.0, True), (-40.0, False)])
+def test_crowded_cores_are_let_be_where_memory_is_the_scarcer(memory, crowded):
+    """Guards against evictions: what is ranked by memory must not be outdone by cores."""
+    driver = Driver(make_settings(classes=(make_class(calm=0.8),), report_fields=("x0", "x1")), machines(1))
+    driver.answer(driver.arrive(), {1: (-10.0, memory)})
+    policy = driver.policy
+    assert policy._crowded(policy._requests[1], policy._nodes[1]) is crowded
+
+
+def test_a_machine_with_tasks_not_started_yet_is_no_home_for_further_programs():
+    driver = Driver(make_settings(report_fields=("x0", "x1"), confirms_running=False), machines(1))
+    [n] = driver.policy._nodes.values()
+    for request in range(1, STARTING + 1):
+        driver.place(service=request)
+        driver.send(Placed(request, 0, 1, 1000))
+    request = driver.policy._requests[1]
+    request.service, request.homes = 99, []
+    assert driver.policy._tier(request, n) == ABSENT
+    driver.send(Note(1, 0, 1, Topic.RUNS, 0.0))
+    assert driver.policy._tier(request, n) == HOME
+    driver.send(ended(2, 1, Outcome.OK, closed=True))
+    assert not n.starting - set(range(3, STARTING + 1))
+
+
 @pytest.mark.parametrize(
     "topic, value, avoided",
     [
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -27,11 +27,13 @@
 LINE_CUT = 0.8  # what a refusal for a full line leaves of that; each start at the limit adds a little
 LOW_SHARE = 0.7  # the part of it that classes below the highest priority may fill
 RESERVE = 0.08  # the part of a machine's room that the least worthy class leaves to the others
-ABSENT = 8  # the lowest tier of a machine without the program that is no home
+HOME, ABSENT = 4, 8  # the lowest tiers of a home of a service, and of another without its program
 HOMES = 2  # machines that every allocator favours for a service, so that its program is there for all
 COLD_OPEN = 2  # open offers of ours that a machine just back may have
 KEPT = 4  # programs that a machine is thought to keep after our last task of theirs
 SUSPECT_US, SUSPECT_MOST_US = 5_000_000, 40_000_000  # a failed start has its machine drawn last; doubles
+ROOMY = 0.7  # under this part of the cores that a class is served in full up to, any machine is a home
+STARTING = 2  # but not while so many of our tasks there have not started: without its program they wait
 ANY = -1  # a suspect for any class
 FAULTS = 3  # errors and broken answers, with none placed in between, that make a machine a suspect
 FAULT_US = 200_000  # what fails within so long is one fault: a connection takes all that is out on it along
@@ -122,19 +124,36 @@
 
     def _crowded(self, r: Request, n: Node) -> bool:
         """Whether the class would be served less than in full there, its own cores counted in."""
-        more = (n.running[0] + n.offered[0] - n.util_own + r.cores) * self._uses()[0] / n.cores
-        return self._now < n.poor or (self._now - n.util_at <= STALE_US and n.util + more > r.cls.calm)
+        busy, full = self._load(r, n)
+        return self._now < n.poor or (busy > r.cls.calm and busy > full)
+
+    def _load(self, r: Request, n: Node) -> tuple[float, float]:
+        """The parts of its cores and memory that would be in use with the request, where told lately.
+
+        Where cores in use are not told, they are what its tasks ask, as far as such tasks use that. Where
+        memory is the scarcer, crowded cores are let be: what is ranked by it must not be outdone.
+        """
+        use, use_memory = self._uses()
+        busy = full = 0.0
+        if self._now - n.asked.heard <= STALE_US:
+            cores, memory = n.asked.left(n, 1.0, 1.0)
+            busy, full = (n.cores - cores) * use / n.cores, (n.memory - memory) * use_memory / n.memory
+        if self._now - n.util_at <= STALE_US:
+            busy = n.util + (n.running[0] + n.offered[0] - n.util_own) * use / n.cores
+        return busy + r.cores * use / n.cores, full + r.memory * use_memory / n.memory
 
     def _tier(self, r: Request, n: Node) -> int:
         """The lower, the sooner drawn: suspects last, then crowded machines and those without the program.
 
         Where the whole service is ours, following its program piles it up, so calm goes first; where several
-        allocators share it, the homes spread services evenly, and the program goes first.
+        allocators share it, the homes spread services evenly, and the program goes first; but a roomy
+        machine goes before a crowded one that has it. Guards against new machines that stay empty.
         """
+        roomy = 0 < max(self._load(r, n)) < ROOMY * r.cls.calm and len(n.starting) < STARTING
         absent = n not in self._held.at(r.service)
         suspect = any(self._now < n.suspects.get(kind, (0, 0))[0] for kind in (ANY, r.kind))
-        return (32 * suspect + (16 if self._s.by_service else 2) * self._crowded(r, n)
-                + (0 if not absent else 4 if n in r.homes else ABSENT)
+        return (32 * suspect + (16 if self._s.by_service else 6) * self._crowded(r, n)
+                + (0 if not absent else HOME if roomy or n in r.homes else ABSENT)
                 + (self._s.prices.cross_zone > 0 and n.entry.zone != self._s.zone))
 
     # ---- the ordinary path ------------------------------------------------------------------------------
@@ -197,13 +216,13 @@
             r.homes = list(islice((n for n in r.ranked if self._eligible(r, n, False)), HOMES))
             first |= dict.fromkeys(r.homes)
         found = [n for n in first if self._eligible(r, n, False)]
-        good = sum(self._tier(r, n) <= ABSENT for n in found)
+        good = sum(self._tier(r, n) <= HOME for n in found)
         for n in shuffled(self._nodes.values(), self._random):
             if good >= DRAWN:  # no other machine is of a lower tier
                 break
             if n not in first and self._eligible(r, n, False):
                 found.append(n)
-                good += self._tier(r, n) <= ABSENT
+                good += self._tier(r, n) <= HOME
         if not found and self._blind():
             found = [n for n in self._nodes.values() if self._legal(r, n)]
         self._random.shuffle(found)
@@ -301,6 +320,8 @@
             n.no_offer(r)
             n.run(r, 1, self._now, LIST_LAG_US)
             n.silent, n.faults = False, 0
+            if not self._s.confirms_running:
+                n.starting.add(r.id)
 
     def _ended(self, e: AttemptEnded) -> None:
         r, n = self._requests.get(e.request), self._nodes.get(e.machine)
@@ -312,6 +333,7 @@
             self._out.append(Log(f"machine {n.entry.id} sends tasks away: taken for draining"))
         if e.attempt == r.placed:
             r.placed = None
+            n.starting.discard(r.id)
             n.run(r, -1, self._now, LIST_LAG_US)
         else:
             self._judge(r, n, e)
@@ -333,6 +355,8 @@
     def _note(self, e: Note) -> None:
         r, n, sums = self._requests.get(e.request), self._nodes.get(e.machine), self._use.get(e.topic)
         poor = e.value < SERVED if e.topic == Topic.SERVED_SHARE else e.value > TIGHT
+        if n is not None and e.topic == Topic.RUNS:
+            n.starting.discard(e.request)
         if n is not None and poor and e.topic in (Topic.SERVED_SHARE, Topic.MACHINE_MEMORY):
             n.poor = self._now + STALE_US
         if r is not None and sums is not None:
--- a/weldhatch/state.py
+++ b/weldhatch/state.py
@@ -46,6 +46,7 @@
         self.asked, self.used = Room(), Room()  # room by what tasks asked, and by what they use
         self.util, self.util_own, self.util_at = 0.0, 0.0, NEVER
         self.kept: dict[int, None] = {}  # services whose program should still be there, oldest first
+        self.starting: set[int] = set()  # own requests placed there that are not told to run yet
         self.silent, self.probes, self.leaving, self.line = False, 0, 0, line
         self.poor = 0  # until when told service there counts as poor
         self.wait = self.recheck = 0  # of a silent machine: the last wait, and until when
