Suspect a server that fails what another takes; look after tasks until a restart is over

And after SIGTERM the process ended 0.7 s later, with its tasks standing and 3 s to go before the next one started: no owner heard of an end meanwhile.

Now a request keeps the machines that answered it with an error: its next attempt goes elsewhere, one that another machine takes makes the first a suspect, and two machines make it the request's own fault, which clears the first. A planned end looks after standing tasks until 0.25 s before SIGKILL may come. The bus counts as silent after 1.7 s and is asked again sooner, since what it would have told counts as told 2 s after a break.

--- a/weldhatch/__main__.py
+++ b/weldhatch/__main__.py
@@ -29,6 +29,8 @@
 
 LISTEN_ON_S = 0.7  # after SIGTERM requests keep coming for so long, and are served
 FLUSH_S = 0.5
+DEADLINE_MOST_S = 3.0  # SIGKILL comes LISTEN_ON_S after the longest deadline, counted as this where longer
+SPARE_S = 0.25  # a planned end is over so long before that
 ANSWER_S = 0.2  # a plan that asks for a restart is answered before it
 
 
@@ -76,11 +78,18 @@
                 self._log(f"configuration: {key} has changed, which takes a restart")
 
     async def end(self) -> None:
-        """A planned end: whatever was taken is answered, and what still comes is served for its span."""
+        """A planned end: whatever was taken is answered, and what still comes is served for its span.
+
+        Tasks that stand are looked after for as long as there is: until a new dispatcher is there, nobody
+        else tells their owners that they are over. What is unanswered then is waited for, as it would be
+        lost otherwise.
+        """
+        longest = max(cls.deadline_us for cls in self._started.settings.classes) / 1e6
+        end = time.monotonic() + min(longest, DEADLINE_MOST_S) + LISTEN_ON_S - SPARE_S
         await asyncio.sleep(LISTEN_ON_S)
         self.listener.close()
         self.owners.ending = True
-        while self.core.unanswered:
+        while self.core.unanswered or (self.core.lives and time.monotonic() < end):
             await asyncio.sleep(0.01)
         await self.owners.finish_all(FLUSH_S)
         self.abort()
--- a/weldhatch/platform/bus.py
+++ b/weldhatch/platform/bus.py
@@ -11,8 +11,8 @@
 from weldhatch.net.connection import Connection, Malformed, connect
 from weldhatch.net.ring import Ring
 
-QUIET_S = 2.5  # a comment comes each second: no byte for so long means a broken connection
-AGAIN_S, AGAIN_MOST_S = 0.1, 1.0  # waits between connects; what breaks off must be known within 4 s
+QUIET_S = 1.7  # a comment comes each second: no byte for so long means a broken connection
+AGAIN_S, AGAIN_MOST_S = 0.05, 0.4  # waits between connects; what broke off counts as told after 2 s
 CONNECT_S = 1.0
 
 
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -35,7 +35,7 @@
 ROOMY = 0.7  # under this part of the cores that a class is served in full up to, any machine is a home
 STARTING = 2  # but not while so many of our tasks there have not started: without its program they wait
 ANY = -1  # a suspect for any class
-FAULTS = 3  # errors and broken answers, with none placed in between, that make a machine a suspect
+FAULTS = 2  # errors and broken answers, with none placed in between, that make a machine a suspect
 FAULT_US = 200_000  # what fails within so long is one fault: a connection takes all that is out on it along
 ERRORS_MOST = 2  # machines that answer a request with an error: it is the request, not they
 REFUSED_TWICE = 2  # refusals of a request for want of room: one may be bad luck
@@ -152,7 +152,7 @@
         roomy = 0 < max(self._load(r, n)) < ROOMY * r.cls.calm and len(n.starting) < STARTING
         absent = n not in self._held.at(r.service)
         suspect = any(self._now < n.suspects.get(kind, (0, 0))[0] for kind in (ANY, r.kind))
-        return (32 * suspect + (16 if self._s.by_service else 6) * self._crowded(r, n)
+        return (64 * (n in r.errors) + 32 * suspect + (16 if self._s.by_service else 6) * self._crowded(r, n)
                 + (0 if not absent else HOME if roomy or n in r.homes else ABSENT)
                 + (self._s.prices.cross_zone > 0 and n.entry.zone != self._s.zone))
 
@@ -320,6 +320,9 @@
             n.no_offer(r)
             n.run(r, 1, self._now, LIST_LAG_US)
             n.silent, n.faults = False, 0
+            for failed in r.errors:  # another machine can use it: it was not the request
+                if failed is not n:
+                    self._suspect(failed, ANY)
             if not self._s.confirms_running:
                 n.starting.add(r.id)
 
@@ -342,10 +345,12 @@
             if e.outcome not in PROOF and r.maybe is None:
                 r.maybe = r.sent[e.attempt]
         self._held.end(r.service, n, ran=e.outcome not in PROOF)
-        r.errors += e.outcome is Outcome.ERROR
+        if e.outcome is Outcome.ERROR and n not in r.errors:
+            r.errors.append(n)
         if e.closed or r.answered:
             self._forget(r)
-        elif r.errors >= ERRORS_MOST:
+        elif len(r.errors) >= ERRORS_MOST:
+            r.errors[0].faults = max(0, r.errors[0].faults - 1)
             self._answer(r)
         elif e.outcome is Outcome.FULL or self._now >= r.deadline - self._early:
             self._blocked(r)
@@ -376,9 +381,7 @@
             n.faults, n.fault_at = n.faults + 1, self._now
         if untold or (fault and n.faults >= FAULTS):
             kind = r.kind if untold else ANY  # full without want of room may be meant for the class alone
-            until, wait = n.suspects.get(kind, (0, 0))
-            wait = min(2 * wait, SUSPECT_MOST_US) if self._now < until + wait else SUSPECT_US
-            n.suspects[kind] = (self._now + wait, wait)
+            self._suspect(n, kind)
         elif e.outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
             self._no_sign(n)
         elif e.outcome is Outcome.FULL and e.reason == Reason.LINE_FULL:
@@ -389,6 +392,11 @@
             n.refused = (self._now + REFUSED_US, r.cores if e.reason == Reason.NO_CORES else 0.0,
                          r.memory if e.reason == Reason.NO_MEMORY else 0.0)
 
+    def _suspect(self, n: Node, kind: int) -> None:
+        until, wait = n.suspects.get(kind, (0, 0))
+        wait = min(2 * wait, SUSPECT_MOST_US) if self._now < until + wait else SUSPECT_US
+        n.suspects[kind] = (self._now + wait, wait)
+
     def _no_sign(self, n: Node) -> None:
         """Silent until a draw, after a wait that doubles, has its probe answered; no timers for it."""
         again, n.silent = n.silent, True
--- a/weldhatch/state.py
+++ b/weldhatch/state.py
@@ -84,7 +84,7 @@
         self.placed: int | None = None  # the attempt that holds the task
         self.maybe: tuple[Machine, int] | None = None  # the first attempt that may have run
         self.refused = 0  # for want of room
-        self.errors = 0  # machines that answered with an error
+        self.errors: list[Node] = []  # machines that answered with an error
         self.answered, self.holds, self.turn = False, 0, 0  # a timer of an older turn is void
         self.ranked: list[Node] = []  # machines by rank for its service, as of the list's version
         self.ranked_at = -1
