Keep and read the connection that a trial makes: releases came on it and were lost

Link._try connected to such a server and closed that connection at once, unread; a server sends what concerns a task on any open connection, and on the next one opened, so releases went down with it.

Now the second connection is read like the first, and kept as a spare for the next trial, on which the server has to say something.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,7 @@
 """The ring buffer against plain bytes, and every parser on input that comes in pieces."""
 
+import unittest.mock
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -7,6 +9,7 @@
 from weldhatch.net.budget import Budget, Share
 from weldhatch.net.connection import Malformed
 from weldhatch.net.ring import SMALL, Ring
+from weldhatch.net.sparing import LINES_S, Sparing
 from weldhatch.platform import binary, bus, jsonl
 from weldhatch.pullqueue import http
 
@@ -100,6 +103,17 @@
         parse(ring)
 
 
+def test_a_flood_does_not_fill_the_log():
+    lines = []
+    log = Sparing(lines.append)
+    with unittest.mock.patch("time.monotonic", return_value=1.5):
+        for n in range(500):
+            log(f"line {n}")
+    with unittest.mock.patch("time.monotonic", return_value=2.5):
+        log("later")
+    assert lines[-2:] == [f"{500 - LINES_S} lines were left out", "later"] and len(lines) == LINES_S + 2
+
+
 def test_a_share_never_takes_more_than_its_part_or_the_budget_has():
     budget = Budget(24 + 10)
     share, other, woken = Share(budget, 6), Share(budget, 9), []
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,9 +1,10 @@
 """Scenarios of servers that spoil their answers, and of servers that come and go."""
 
+import asyncio
 import unittest
 import unittest.mock
 
-from scenario import Scenario, tag
+from scenario import LONG, Scenario, tag
 
 from weldhatch.core import ports
 from weldhatch.interface import Outcome
@@ -71,6 +72,20 @@
             await self.until(lambda: not self.gateway.servers._unclaimed, "it was dropped")
 
 
+    async def test_a_release_that_comes_on_the_connection_of_a_trial_is_heard(self):
+        """Guards against trials that are closed unread: a release may come on any open connection."""
+        await self.play(SEND.format("a1", "unsafe") + "s1 send ANSWER a1\nowner expect STARTED a1")
+        server = self.parties["s1"]
+        [old] = server.writers
+        server.connected.clear()
+        await self.play("s1 hang")
+        await asyncio.wait_for(server.connected.wait(), LONG)
+        [second] = [writer for writer in server.writers if writer is not old]
+        second.write(binary.encode(binary.RELEASE, tag("a1"), {binary.CAUSE: b"\x10"}))
+        await self.play("owner expect FINISH a1 cause=16")
+        self.assertFalse(any("lost" in text for text in self.logged), self.logged)
+
+
 class ComingAndGoing(Scenario):
     async def test_nothing_is_kept_of_servers_that_have_gone(self):
         await self.until(lambda: self.bus.writers, "the bus is read")
--- a/weldhatch/platform/owners.py
+++ b/weldhatch/platform/owners.py
@@ -15,6 +15,7 @@
 from weldhatch.core.life import Core, Life
 from weldhatch.net.budget import Share
 from weldhatch.net.connection import Connection, Malformed
+from weldhatch.net.sparing import Sparing
 from weldhatch.platform import jsonl
 from weldhatch.platform.fleet import number_of
 from weldhatch.platform.servers import Names
@@ -156,7 +157,7 @@
     """All owners' connections, and the set-ups by tag: a task that stands belongs to no connection."""
 
     def __init__(self, settings: i.Settings, core: Core, share: Share, log: Callable[[str], None]) -> None:
-        self._core, self._share, self._log = core, share, log
+        self._core, self._share, self._log = core, share, Sparing(log)
         self._form = Form(settings, strict=True)
         self.links: set[OwnerLink] = set()
         self._asked: dict[str, Asked] = {}
@@ -211,13 +212,14 @@
             asked.forgotten()
 
     def relay(self, link: OwnerLink, data: bytes) -> None:
-        """A release may go out on any connection of its owner, or on the next one that is opened."""
+        """A release may go out on any connection, or on the next one that is opened.
+
+        Guards against releases that go to those who never had a task: owners' connections come first.
+        """
         if link.connection.send(data):
             return
-        for other in self.links:
-            if other.host == link.host and other.connection.send(data):
-                return
-        for other in self.links:
+        others = [other for other in self.links if not other.away]
+        for other in sorted(others, key=lambda other: (not other.asked, other.host != link.host)):
             if other.connection.send(data):
                 return
         self._unsent.append(data)
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -63,6 +63,8 @@
         self.probes: dict[bytes, tuple[Callable, asyncio.TimerHandle]] = {}
         self._asked = 0.0  # when the first message since the last sign of life went out
         self._trial: asyncio.Task | None = None
+        self._spare: Connection | None = None  # the second connection that a trial has made
+        self._reading: asyncio.Task | None = None
         self._excuses = 0
         self.replaced = False  # another server has the address: nothing goes there under this uid
 
@@ -190,12 +192,26 @@
             self._servers.test(self)
 
     async def _try(self, up: Connection) -> None:
-        """Whether a silent machine is busy or has vanished: a busy one still takes a new connection."""
+        """Whether a silent machine is busy or has vanished: a busy one still takes a new connection.
+
+        That one is kept and read. Guards against releases that are lost with it: a server may send them on
+        any connection that is open.
+        """
         why = "is silent, and no connection comes up"
         try:
             for _ in range(LOST_TRIES):
                 try:
-                    (await self._servers.connect(self.server)).close()
+                    if self._spare is None or self._spare.closed:
+                        self._spare = await self._servers.connect(self.server)
+                        self._reading = asyncio.get_running_loop().create_task(
+                            self._spare.pump(b.parse, self._handle))
+                    else:  # a machine that has vanished leaves this open too: it must say something
+                        heard = self._spare.heard
+                        self._spare.send(self._servers.test_message())
+                        await asyncio.sleep(SILENT_S)
+                        if self._spare.closed or self._spare.heard == heard:
+                            self._spare.close()
+                            continue
                 except ConnectionError:
                     why = "is silent and refuses connections"
                     break
@@ -215,6 +231,8 @@
     def close(self) -> None:
         if self._trial is not None:
             self._trial.cancel()
+        if self._spare is not None:
+            self._spare.close()
         if self._connecting is not None:
             self._connecting.cancel()
             self._connecting = None
@@ -247,7 +265,7 @@
                     timer.cancel()
                     done(i.Outcome.OK if passed else i.Outcome.FULL, report)
             case b.TEST:
-                self._up.send(b.encode(b.TESTED, message.tag, {b.CAUSE: b"\1"}))
+                self.send(message.tag, b.encode(b.TESTED, message.tag, {b.CAUSE: b"\1"}))
             case b.PROGRESS | b.RELEASE_HEARD:
                 pass
             case _:
@@ -402,8 +420,11 @@
 
     def test(self, link: Link) -> None:
         """A test that nobody waits for: any answer shows life."""
-        tag = self._test_tag()
-        link.send(tag, b.encode(b.TEST, tag, {b.CAUSE: b"\0"}))
+        message = self.test_message()
+        link.send(message, message)
+
+    def test_message(self) -> bytes:
+        return b.encode(b.TEST, self._test_tag(), {b.CAUSE: b"\0"})
 
     def _test_tag(self) -> bytes:
         self._tests += 1
