--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 
 build: .venv/built
 
-.venv/built: requirements.txt requirements-dev.txt
+.venv/built: requirements.txt requirements-tools.txt requirements-dev.txt
 	test -d .venv || python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	.venv/bin/pip -q install -r requirements.txt -r requirements-tools.txt -r requirements-dev.txt
 	touch $@
 
 test: build
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,23 +1,71 @@
-"""Imports run one way, and the core knows no wire."""
+"""Imports run one way, the core knows no wire, what decides does no I/O, and `run` stays lean."""
 
 import ast
 import graphlib
+import subprocess
+import sys
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
-MODULES = {".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
-           for path in (ROOT / "weldhatch").rglob("*.py")}
+MODULES = {
+    ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
+    for path in (ROOT / "weldhatch").rglob("*.py")
+}
+PACKAGES = {
+    "applying",
+    "cli",
+    "core",
+    "forms",
+    "net",
+    "nodes",
+    "planning",
+    "platform",
+    "pullqueue",
+    "standins",
+    "store",
+}
+# What each package may import of the others; modules beside the packages are its business.
+ABOVE = {
+    "core": set(),
+    "net": set(),
+    "store": set(),
+    "forms": set(),
+    "platform": {"core", "net"},
+    "planning": {"forms"},
+    "nodes": {"planning"},
+    "applying": {"planning", "nodes", "store"},
+}
+# Modules that hold decisions take clock and randomness as arguments, and do no I/O.
+PURE = (
+    "weldhatch.planning.",
+    "weldhatch.policy",
+    "weldhatch.state",
+    "weldhatch.interface",
+    "weldhatch.pullqueue.operators",
+)
+IMPURE = {"time", "random", "socket", "asyncio", "os", "pathlib", "subprocess", "tempfile", "tornado", "http"}
 
 
-def imports(path):
+def imported(path):
+    """All module names that a file imports, anywhere in it."""
     found = set()
     for node in ast.walk(ast.parse(path.read_text())):
         if isinstance(node, ast.ImportFrom):
-            found |= {f"{node.module}.{name.name}" if f"{node.module}.{name.name}" in MODULES else node.module
-                      for name in node.names}
+            found |= {f"{node.module}.{name.name}" for name in node.names} | {node.module}
         elif isinstance(node, ast.Import):
             found |= {name.name for name in node.names}
-    return {name for name in found if name in MODULES}
+    return found
+
+
+def imports(path):
+    found = imported(path)
+    return {
+        name
+        for name in found
+        if name in MODULES and not any(other.startswith(f"{name}.") and other in MODULES for other in found)
+    }
 
 
 GRAPH = {name: imports(path) for name, path in MODULES.items()}
@@ -25,19 +73,30 @@
 
 def test_no_module_imports_in_a_circle():
     order = list(graphlib.TopologicalSorter(GRAPH).static_order())
-    assert order.index("weldhatch.interface") < order.index("weldhatch.core.life") < order.index(
-        "weldhatch.__main__")
+    assert (
+        order.index("weldhatch.interface")
+        < order.index("weldhatch.core.life")
+        < order.index("weldhatch.__main__")
+    )
 
 
-def test_no_package_imports_in_a_circle():
-    packages = {}
+def packages():
+    found = {}
     for name, needs in GRAPH.items():
         if name.count(".") == 2:
-            packages.setdefault(name.rsplit(".", 1)[0], set()).update(
-                need.rsplit(".", 1)[0] for need in needs if need.count(".") == 2)
-    for name, needs in packages.items():
-        needs.discard(name)
-    assert len(packages) == 4 and list(graphlib.TopologicalSorter(packages).static_order())
+            found.setdefault(name.split(".")[1], set()).update(
+                need.split(".")[1] for need in needs if need.count(".") == 2
+            )
+    return {name: needs - {name} for name, needs in found.items()}
+
+
+def test_no_package_imports_in_a_circle():
+    found = packages()
+    assert set(found) == PACKAGES
+    assert list(graphlib.TopologicalSorter(found).static_order())
+    for name, above in ABOVE.items():
+        assert found[name] <= above, name
+    assert not any("standins" in needs for name, needs in found.items())
 
 
 def test_the_core_knows_no_wire_and_the_sockets_no_protocol():
@@ -46,3 +105,25 @@
         for name, needs in GRAPH.items():
             if name.startswith(f"weldhatch.{part}."):
                 assert {need if need in known else need.rsplit(".", 1)[0] for need in needs} <= known, name
+
+
+@pytest.mark.parametrize("name", sorted(name for name in MODULES if name.startswith(PURE)))
+def test_what_decides_does_no_io_and_reads_no_clock(name):
+    roots = {one.split(".")[0] for one in imported(MODULES[name])}
+    allowed = {"random"} if name in ("weldhatch.policy", "weldhatch.state") else set()  # a seeded Random
+    assert not roots & (IMPURE - allowed)
+
+
+def test_run_imports_nothing_heavy():
+    """Guards the platform's 32 MB and its time from start to first answer."""
+    code = (
+        "import sys, os; os.environ.pop('PROXY_CONFIG', None); before = set(sys.modules)\n"
+        "from weldhatch import __main__\nsys.argv = ['weldhatch']\n"
+        "assert __main__.main() == 2\n"  # no PROXY_CONFIG: the file's fault, after all imports
+        "print(*sorted({name.split('.')[0] for name in set(sys.modules) - before}))"
+    )
+    out = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    loaded = set(out.stdout.split())
+    standard = set(sys.stdlib_module_names) | {"__main__", "__mp_main__"}
+    assert loaded - standard == {"tornado", "weldhatch"}
+    assert not loaded & {"sqlite3", "unittest", "multiprocessing", "xml", "curses"}
--- /dev/null
+++ b/weldhatch/applying/journal.py
@@ -0,0 +1,88 @@
+"""The journal of a fleet's applies: each record is on the disk before it takes effect."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from pathlib import Path
+
+import msgspec
+
+from weldhatch.planning.records import AnyRecord, Begin, Ended, Stopped, Story, decode, encode
+from weldhatch.store.lock import Lock, holder
+from weldhatch.store.log import Disk, Log, LogCorrupt, read
+
+LOG, LOCK = "applies.log", "apply.lock"
+COMPACT_OVER = 50_000  # records; beyond, ended applies are cut down to their beginning and their end
+KEPT_WHOLE = 2  # the last applies stay as they are
+
+
+def stamp(at: float) -> str:
+    """Unix seconds as a person reads them."""
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+def _records(payloads: Iterable[bytes], path: Path) -> list[AnyRecord]:
+    out = []
+    for number, payload in enumerate(payloads, 1):
+        try:
+            out.append(decode(payload))
+        except msgspec.MsgspecError as fault:
+            raise LogCorrupt(f"{path}: record {number}: {fault}") from None
+    return out
+
+
+def story(folder: str | Path) -> Story:
+    """All applies of a folder, without holding it."""
+    path = Path(folder) / LOG
+    return Story(_records(read(path), path))
+
+
+def held_by(folder: str | Path) -> str:
+    """Who is applying just now; '' where nobody is."""
+    return holder(Path(folder) / LOCK)
+
+
+class Journal:
+    """The one writer of a folder, from its making to `close`. A second one raises LockHeld."""
+
+    def __init__(self, folder: str | Path, who: str, now: float, disk: Disk | None = None) -> None:
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._lock = Lock(self.folder / LOCK, who, stamp(now))
+        try:
+            self._log = Log(self.folder / LOG, disk)
+            self.torn = self._log.torn
+            records = _records(self._log.records(), self.folder / LOG)
+            self.story = Story(records)
+            if len(records) > COMPACT_OVER:
+                self._compact(records)
+        except BaseException:
+            self._lock.close()
+            raise
+
+    def _compact(self, records: list[AnyRecord]) -> None:
+        kept = list(self.story.applies)[-KEPT_WHOLE:]
+        short = {
+            name
+            for name, progress in self.story.applies.items()
+            if name not in kept and (progress.ended or progress.stopped)
+        }
+        left = [
+            record
+            for record in records
+            if record.apply not in short or isinstance(record, Begin | Ended | Stopped)
+        ]
+        self._log.rewrite(map(encode, left))
+
+    def append(self, records: Iterable[AnyRecord]) -> None:
+        """Write, wait for the disk, and only then count the records as said. Raises LogError: none was
+        said."""
+        records = list(records)
+        self._log.append(map(encode, records))
+        for record in records:
+            self.story.take(record)
+
+    def close(self) -> None:
+        self._log.close()
+        self._lock.close()
--- /dev/null
+++ b/weldhatch/forms/reader.py
@@ -0,0 +1,268 @@
+"""Reads S-expressions by `grammar.lark`: forms and atoms with their places, and all faults of a text at
+once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import cache
+from pathlib import Path
+
+import lark
+
+DURATIONS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+SIZES = {"MB": 0.001, "GB": 1.0, "TB": 1000.0}
+DEPTH_MOST = 60
+TEXT_MOST = 4 << 20
+INCLUDES_MOST = 64
+_ESCAPES = {'\\"': '"', "\\\\": "\\", "\\n": "\n", "\\t": "\t"}
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Place:
+    """Where something stands: file, line and column, both counted from 1."""
+
+    file: str
+    line: int
+    column: int
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}"
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """One thing that can't be read: where, what was found, and the word that was expected there."""
+
+    place: Place
+    message: str
+    expected: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.message}" + (f" (expected {self.expected})" if self.expected else "")
+
+
+class FormError(ValueError):
+    """A text with faults: all of them, in the order of their places."""
+
+    def __init__(self, faults: list[Fault]) -> None:
+        self.faults = sorted(set(faults), key=lambda fault: fault.place)
+        super().__init__("\n".join(map(str, self.faults)))
+
+
+@dataclass(slots=True, frozen=True)
+class Atom:
+    """A word, a text, a number, a duration (seconds) or a size (GB)."""
+
+    kind: str  # SYMBOL, STRING, NUMBER, DURATION, SIZE
+    value: str | float
+    text: str
+    place: Place
+
+    @property
+    def shown(self) -> str:
+        return self.text
+
+
+@dataclass(slots=True, frozen=True)
+class Comment:
+    text: str
+    place: Place
+
+
+@dataclass(slots=True)
+class Form:
+    """One pair of brackets. `all` has the comments too, `items` has what means something."""
+
+    place: Place
+    end_line: int
+    all: list[Form | Atom | Comment] = field(default_factory=list)
+
+    @property
+    def items(self) -> list[Form | Atom]:
+        return [item for item in self.all if not isinstance(item, Comment)]
+
+    @property
+    def head(self) -> str:
+        """Its first word, or '' where it begins with something else."""
+        first = next(iter(self.items), None)
+        return str(first.value) if isinstance(first, Atom) and first.kind == "SYMBOL" else ""
+
+    @property
+    def shown(self) -> str:
+        return "(" + " ".join(item.shown for item in self.items) + ")"
+
+
+@cache
+def _parser() -> lark.Lark:
+    text = (Path(__file__).parent / "grammar.lark").read_text(encoding="utf-8")
+    return lark.Lark(text, parser="lalr", propagate_positions=True, maybe_placeholders=False)
+
+
+def read(text: str, file: str) -> list[Form | Atom | Comment]:
+    """The items of a text. Raises FormError with every fault of the text.
+
+    Errors do not end the reading: what can't be read is left out, and reading goes on behind it, so that a
+    person mends a file in one go.
+    """
+    if len(text) > TEXT_MOST:
+        raise FormError([Fault(Place(file, 1, 1), f"a file of over {TEXT_MOST >> 20} MiB")])
+    faults: list[Fault] = []
+
+    def fault(error: lark.UnexpectedInput) -> bool:
+        if isinstance(error, lark.UnexpectedCharacters):
+            rest = text[error.pos_in_stream :]
+            word = rest.split(None, 1)[0] if rest.split() else rest[:1]
+            message = (
+                "a text in quotes that does not end on its line, or has an unknown escape"
+                if word[0] == '"'
+                else f"{word[:40]!r} can't be read"
+            )
+            expected = "a word, a number with a known unit, a text or a bracket"
+            if len(word) > 1 and word[0] != '"':
+                expected = "a word that begins with a letter, or a number with one of " + " ".join(
+                    [*DURATIONS, *SIZES]
+                )
+            faults.append(Fault(Place(file, error.line, error.column), message, expected))
+            _skip(error, word)
+            return True
+        if isinstance(error, lark.UnexpectedToken) and error.token.type != "$END":
+            faults.append(
+                Fault(Place(file, error.token.line, error.token.column), "a ')' that closes nothing", "'('")
+            )
+            return True
+        return False
+
+    try:
+        tree = _parser().parse(text, on_error=fault)
+    except lark.UnexpectedInput:  # only the end of the file can't be stepped over: a bracket is open
+        if not faults:  # after another fault, the brackets that were left out with it would be told again
+            line, column = _unclosed(text)
+            faults.append(Fault(Place(file, line, column), "this '(' is never closed", "')'"))
+        raise FormError(faults) from None
+    except RecursionError:
+        raise FormError([Fault(Place(file, 1, 1), "brackets nested too deeply")]) from None
+    items = [_item(child, file, 0, faults) for child in tree.children]
+    if faults:
+        raise FormError(faults)
+    return items
+
+
+def _skip(error: lark.UnexpectedCharacters, word: str) -> None:
+    """Guards against one bad word being told once for each of its letters: the lexer goes on behind it."""
+    lexer_state = error.interactive_parser.lexer_thread.state if error.interactive_parser else None
+    if lexer_state is None:
+        return
+    bare = word.split("(")[0].split(")")[0] or word[0]
+    # The handler of lark steps over one character itself.
+    for character in bare[:-1]:
+        lexer_state.line_ctr.feed(lark.lexer.Token("SKIPPED", character), False)
+
+
+def _unclosed(text: str) -> tuple[int, int]:
+    """Line and column of the innermost bracket that stays open at the end."""
+    open_at: list[tuple[int, int]] = []
+    line = column = 1
+    quoted = comment = False
+    previous = ""
+    for character in text:
+        if character == "\n":
+            line, column, quoted, comment, previous = line + 1, 1, False, False, ""
+            continue
+        if comment:
+            pass
+        elif character == '"' and not (quoted and previous == "\\"):
+            quoted = not quoted
+        elif not quoted:
+            if character == ";":
+                comment = True
+            elif character == "(":
+                open_at.append((line, column))
+            elif character == ")" and open_at:
+                open_at.pop()
+        previous = "" if previous == "\\" else character
+        column += 1
+    return open_at[-1] if open_at else (line, column)
+
+
+def _item(tree: lark.Tree, file: str, depth: int, faults: list[Fault]) -> Form | Atom | Comment:
+    if tree.data == "form":
+        place = Place(file, tree.meta.line, tree.meta.column)
+        if depth > DEPTH_MOST:
+            faults.append(Fault(place, "brackets nested too deeply", f"at most {DEPTH_MOST}"))
+            return Form(place, tree.meta.end_line)
+        return Form(
+            place, tree.meta.end_line, [_item(child, file, depth + 1, faults) for child in tree.children]
+        )
+    token = tree.children[0]
+    place = Place(file, token.line, token.column)
+    if tree.data == "comment":
+        return Comment(str(token).rstrip(), place)
+    return Atom(token.type, _value(token), str(token), place)
+
+
+def _value(token: lark.Token) -> str | float:
+    text = str(token)
+    if token.type == "STRING":
+        out, at = [], 1
+        while at < len(text) - 1:
+            step = 2 if text[at] == "\\" else 1
+            out.append(_ESCAPES.get(text[at : at + step], text[at : at + step]))
+            at += step
+        return "".join(out)
+    for kind, units in (("DURATION", DURATIONS), ("SIZE", SIZES)):
+        if token.type == kind:
+            unit = next(unit for unit in sorted(units, key=len, reverse=True) if text.endswith(unit))
+            return float(text.removesuffix(unit)) * units[unit]
+    return float(text) if token.type == "NUMBER" else text
+
+
+def read_whole(path: str, load: Callable[[str], str]) -> list[Form | Atom]:
+    """A file and all that it includes, in order, by `load` (path to text; OSError where it can't).
+
+    `(include "other.sets")` at the top level names a file beside the one that holds it.
+    """
+    faults: list[Fault] = []
+    count = 0
+
+    def one(path: str, way: tuple[str, ...], at: Place | None) -> list[Form | Atom]:
+        nonlocal count
+        count += 1
+        if path in way or count > INCLUDES_MOST:
+            why = "includes itself" if path in way else f"is one of over {INCLUDES_MOST} includes"
+            faults.append(Fault(at, f"{path} {why}: {' -> '.join((*way, path))}"))
+            return []
+        try:
+            items = read(load(path), path)
+        except (OSError, UnicodeDecodeError) as fault:
+            reason = getattr(fault, "strerror", None) or str(fault)
+            faults.append(Fault(at or Place(path, 1, 1), f"{path}: {reason}"))
+            return []
+        except FormError as error:
+            faults.extend(error.faults)
+            return []
+        out: list[Form | Atom] = []
+        for item in items:
+            if isinstance(item, Form) and item.head == "include":
+                names = item.items[1:]
+                if len(names) != 1 or not isinstance(names[0], Atom) or names[0].kind != "STRING":
+                    faults.append(Fault(item.place, f"{item.shown} names no file", '(include "FILE")'))
+                    continue
+                out += one(str(Path(path).parent / str(names[0].value)), (*way, path), item.place)
+            elif not isinstance(item, Comment):
+                out.append(item)
+        return out
+
+    whole = one(path, (), None)
+    if faults:
+        raise FormError(faults)
+    return whole
+
+
+def describe(item: Form | Atom | None) -> str:
+    """An item as a fault names it."""
+    if item is None:
+        return "nothing more"
+    if isinstance(item, Form):
+        return item.shown if len(item.shown) <= 60 else f"({item.head} ...)"
+    return item.text if item.kind == "STRING" else repr(item.text)
--- /dev/null
+++ b/weldhatch/planning/search.py
@@ -0,0 +1,192 @@
+"""Finds the waves of a change: greedy first, a solver to better it, and why there are none."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from weldhatch.planning.actions import Action, Unplannable, Waves, actions
+from weldhatch.planning.change import Change, Want
+from weldhatch.planning.check import Broken, breaks, busy_already, counted, duration, place
+from weldhatch.planning.fleet import Fleet
+from weldhatch.planning.greedy import greedy
+from weldhatch.planning.linear import SOLVERS, Program
+from weldhatch.planning.model import Model
+
+WAVES_MOST = 24  # where greedy finds nothing, a solver looks no further than this
+EFFORT = 4.0  # of one call of a solver
+
+
+@dataclass(slots=True, frozen=True)
+class Search:
+    """The waves found, by whom, and whether fewer are proven to be impossible."""
+
+    waves: Waves
+    way: str  # nothing, greedy, cp-sat, highs
+    greedy_waves: int | None
+    proven: bool
+    seconds: float  # by the fleet's pace
+
+
+def search(change: Change, fleet: Fleet, way: str = "cp-sat", effort: float = EFFORT) -> Search:
+    """The best waves. Raises Unplannable with the smallest set of statements that exclude each other.
+
+    `way` is a solver's name or `greedy`. A solver's waves are checked by `check.breaks` and taken only where
+    they are no worse than the greedy ones.
+    """
+    todo = actions(change, fleet)
+    if not todo:
+        if broken := breaks(change, fleet, ()):
+            raise _impossible(change, fleet, way, effort, broken)
+        return Search((), "nothing", 0, True, 0.0)
+    plain = greedy(change, fleet, todo)
+    least = least_waves(change, fleet, todo)
+    best, used = plain, "greedy"
+    proven = plain is not None and len(plain) <= least
+    if way != "greedy" and not (proven and len(plain) == 1):
+        most = len(plain) if plain is not None else min(len(todo), _most(change))
+        # With no fewer waves to be had, only time can be won, and less of it is spent on that.
+        if found := _solve(change, fleet, todo, most, way, effort / 4 if proven else effort):
+            waves, optimal = found
+            if best is None or _worth(waves, fleet) < _worth(best, fleet):
+                best, used = waves, way
+            proven = proven or optimal
+    if best is None:
+        raise _impossible(change, fleet, way, effort, breaks(change, fleet, _all_then_all(todo)))
+    return Search(
+        best, used, None if plain is None else len(plain), proven, sum(duration(wave, fleet) for wave in best)
+    )
+
+
+def _worth(waves: Waves, fleet: Fleet) -> tuple[int, float]:
+    return len(waves), sum(duration(wave, fleet) for wave in waves)
+
+
+def _most(change: Change) -> int:
+    return min([WAVES_MOST, *(within.waves for within in change.withins if within.waves)])
+
+
+def _solve(
+    change: Change, fleet: Fleet, todo: tuple[Action, ...], most: int, way: str, effort: float
+) -> tuple[Waves, bool] | None:
+    model = Model(change, fleet, todo, most)
+    found = SOLVERS[way](model.program, effort, None)
+    if found.values is None:
+        return None
+    waves = model.waves(found.values)
+    # Guards against a model that says less than the checks: its waves are not taken on trust.
+    return None if breaks(change, fleet, waves) else (waves, found.proven)
+
+
+def least_waves(change: Change, fleet: Fleet, todo: Iterable[Action]) -> int:
+    """No plan has fewer waves: by the limits, each place takes so many a wave."""
+    todo = tuple(todo)
+    least = 1 if todo else 0
+    acted = [action.node.id for action in todo]
+    for limit in change.limits:
+        busy = busy_already(limit, fleet, acted)
+        here = Counter(place(limit, action.node) for action in todo if counted(limit, action))
+        for name, count in here.items():
+            if (room := limit.most - busy[name]) > 0:
+                least = max(least, math.ceil(count / room))
+    return least
+
+
+def _all_then_all(todo: tuple[Action, ...]) -> Waves:
+    """What adds room in one wave, all else in the next: where even its end breaks something, all plans do."""
+    adds = tuple(action for action in todo if action.deed.adds)
+    rest = tuple(action for action in todo if not action.deed.adds)
+    return tuple(wave for wave in (adds, rest) if wave)
+
+
+# ---- why there is none -------------------------------------------------------------------------------------
+
+
+def feasible(change: Change, fleet: Fleet, way: str, effort: float) -> bool:
+    """Is there any plan? The cheap answers come first."""
+    todo = actions(change, fleet)
+    if any(
+        not broken.wave
+        for broken in breaks(
+            change.only([*change.goals, *change.floors, *change.spreads]), fleet, _all_then_all(todo)
+        )
+    ):
+        return False
+    if not todo or greedy(change, fleet, todo) is not None:
+        return True
+    return (
+        way != "greedy"
+        and _solve(change, fleet, todo, min(len(todo), _most(change)), way, effort) is not None
+    )
+
+
+def smallest_conflict(
+    statements: Sequence[object], possible: Callable[[list[object]], bool], rounds: int = 200
+) -> list[object]:
+    """A smallest set of statements that can't all hold, in their order; `possible` tells of any set.
+
+    By hitting sets: what is left out of each largest possible set has to be hit by every conflict. After so
+    many rounds a set is returned from which nothing can be left out.
+    """
+    order = {id(one): n for n, one in enumerate(statements)}
+    missed: list[set[int]] = []
+    for _ in range(rounds):
+        core = _hit(missed, len(statements))
+        chosen = [statements[at] for at in sorted(core)]
+        if not possible(chosen):
+            return chosen
+        for one in statements:
+            if order[id(one)] not in core and possible([*chosen, one]):
+                chosen.append(one)
+        missed.append({order[id(one)] for one in statements} - {order[id(one)] for one in chosen})
+    kept = list(statements)
+    for one in list(statements):
+        fewer = [other for other in kept if other is not one]
+        if not possible(fewer):
+            kept = fewer
+    return kept
+
+
+def _hit(missed: list[set[int]], count: int) -> set[int]:
+    """The fewest numbers that hit every set; the earlier ones where that is a tie."""
+    if not missed:
+        return set()
+    program = Program()
+    for at in range(count):
+        program.goal[program.variable(0, 1)] = 1000 * count + at
+    for one in missed:
+        program.row(dict.fromkeys(sorted(one), 1), low=1)
+    found = SOLVERS["highs"](program, 10.0, None)
+    if found.values is None:  # out of time: any hitting set goes on being right, only not smallest
+        return set(itertools.chain.from_iterable({min(one)} for one in missed))
+    return {at for at, value in enumerate(found.values) if value}
+
+
+def _impossible(change: Change, fleet: Fleet, way: str, effort: float, broken: list[Broken]) -> Unplannable:
+    """The error for a change that can't be: the smallest conflict, and what it comes to in figures."""
+    statements = change.statements()
+
+    helps = [goal for goal in change.goals if goal.want is Want.ON]
+
+    def possible(kept: list[object]) -> bool:
+        """Leaving out what switches on is no relief of itself: those nodes may still be on, or not."""
+        with_all = [*(goal for goal in helps if all(goal is not one for one in kept)), *kept]
+        return feasible(change.only(kept), fleet, way, effort) or (
+            len(with_all) > len(kept) and feasible(change.only(with_all), fleet, way, effort)
+        )
+
+    if possible(list(statements)):  # only the time given was too short, or the way too plain
+        return Unplannable(
+            [f"no plan was found by {way} in the time given; nothing proves that there is none"]
+        )
+    conflict = smallest_conflict(statements, possible)
+    within = change.only([*conflict, *(goal for goal in helps if goal not in conflict)])
+    figures = [str(one) for one in breaks(within, fleet, _all_then_all(actions(within, fleet)))]
+    lines = [f"these {len(conflict)} exclude each other:" if len(conflict) > 1 else "this can't be:"]
+    lines += [f"  {one.line}" for one in conflict]
+    if figures or broken:
+        lines.append("with all else left out: " + (figures or [str(one) for one in broken])[0])
+    return Unplannable(lines, tuple(one.line for one in conflict))
