Add weldhatch fleet, operators' words at gateways, and stand-in nodes over HTTP

Need: an operator had no commands for a change of the fleet, and a drain could not reach the pull queue before its node.

A gateway's control address takes fenced words (ready, draining, off) that outlast reconnects and restarts. `run` is split from the command line and imports nothing more.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -21,8 +21,8 @@
 import unittest
 
 from weldhatch import config
-from weldhatch.__main__ import Gateway
 from weldhatch.platform import binary
+from weldhatch.serving import Gateway
 
 LONG = 20.0
 TYPES = {name: getattr(binary, name) for name in
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,198 @@
+"""An operator's word on a build machine: nothing new to one that drains, over reconnects and restarts."""
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+
+import pytest
+from scenario import SETTINGS, Scenario
+from test_pullqueue import PullScenario, bot, lease, task
+
+from weldhatch import config
+from weldhatch.interface import MachineState
+from weldhatch.policy import Policy
+from weldhatch.pullqueue.control import Control
+from weldhatch.pullqueue.front import PullQueue
+from weldhatch.pullqueue.operators import Operators, Word, WordError, read_word
+
+
+def word(machine="b1", state="draining", fence=3):
+    return Word(machine, state, fence, "op", 1.0)
+
+
+def test_the_less_of_both_words_counts():
+    operators = Operators()
+    own = (MachineState.READY, MachineState.DRAINING, MachineState.GONE)
+    assert [operators.merged("b1", state) for state in own] == list(own)
+    operators.take(word())
+    assert [operators.merged("b1", state) for state in own] == [
+        MachineState.DRAINING,
+        MachineState.DRAINING,
+        MachineState.GONE,
+    ]
+    operators.take(word(state="off"))
+    assert {operators.merged("b1", state) for state in own} == {MachineState.GONE}
+
+
+def test_a_late_word_of_an_older_apply_is_refused_and_a_repeat_changes_nothing():
+    operators = Operators()
+    assert operators.check(word())
+    operators.take(word())
+    assert not operators.check(word())
+    with pytest.raises(WordError, match="3 has been heard, this is 2") as caught:
+        operators.check(word(state="ready", fence=2))
+    assert (caught.value.code, caught.value.fence) == ("FENCE", 3)
+    assert operators.check(word(state="ready", fence=4))
+
+
+@pytest.mark.parametrize(
+    ("tree", "field"),
+    [
+        ({}, "state"),
+        ({"state": "gone", "fence": 1}, "state"),
+        ({"state": "ready"}, "fence"),
+        ({"state": "ready", "fence": True}, "fence"),
+        ({"state": "ready", "fence": -1}, "fence"),
+        ({"state": "ready", "fence": 1, "op": 5}, "op"),
+    ],
+)
+def test_bad_words_name_their_field(tree, field):
+    with pytest.raises(WordError) as caught:
+        read_word("b1", tree, 0.0)
+    assert caught.value.field == field
+
+
+def test_words_come_back_from_their_records():
+    first, second = Operators(), Operators()
+    first.take(word())
+    second.restore(one.encode() for one in first.words.values())
+    assert second.words == first.words
+    with pytest.raises(ValueError, match="unusable state"):
+        second.restore([json.dumps(["b", "up", 1, "", 0.0]).encode()])
+
+
+class Draining(PullScenario):
+    async def test_what_waits_for_a_machine_goes_elsewhere_when_an_operator_drains_it(self):
+        await self.play(f"p1 send POST botSessions | {bot('b1')}\np1 expect 200")
+        await self.play(f"c1 send POST tasks | {task()}")
+        b1 = self.gateway.bots._bots["b1"]
+        await self.until(lambda: b1.leases, "the task is offered")
+        self.gateway.operate(word())
+        assert not b1.leases
+        await self.play(f"""
+            p2 send POST botSessions | {bot("b2")}
+            p2 expect 200
+            p1 send PATCH $session | {{}}
+            p1 expect 200 leases=[]
+            p2 send PATCH $session X-Server-Timeout=9 | {{}}
+            p2 expect 200 leases.0.state=PENDING
+        """)
+
+    async def test_a_draining_machine_gets_nothing_new_over_its_reconnect_and_keeps_what_it_has(self):
+        await self.placed()
+        self.gateway.operate(word())
+        again = json.loads(bot("b1"))
+        again["leases"] = [{"id": self.parties["p1"].seen["lease"], "state": "ACTIVE"}]
+        await self.play(f"""
+            p2 send POST botSessions | {json.dumps(again)}
+            p2 expect 200 leases.0.state=ACTIVE
+            c2 send POST tasks | {task(key="b2", left=300)}
+            c2 expect 200 answer=refused
+        """)
+        self.gateway.operate(word(state="ready", fence=4))
+        await self.play(f"""
+            c2 send POST tasks | {task(key="b3")}
+            p2 send PATCH $session X-Server-Timeout=9 | {json.dumps({"leases": again["leases"]})}
+            p2 expect 200 leases.1.state=PENDING leases.1.payload.key=b3
+        """)
+
+
+class Restart(Scenario):
+    """The words outlast the gateway, and a second start reads them before it gives anything out."""
+
+    newcomer = PullScenario.newcomer
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        self.parties, self.logged = {}, []
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.begin()
+
+    def begin(self):
+        settings = json.loads(json.dumps(SETTINGS))
+        settings["extra"] |= {"cpuBooking": 1, "memBooking": 1}
+        told = config.pull_queue(
+            {
+                "enabled": True,
+                "listen": "127.0.0.1:0",
+                "states": str(self.folder / "states"),
+                "timing": {"settle": 0},
+                "settings": settings,
+            }
+        )
+        self.gateway = PullQueue(told, Policy(told.settings, 5), self.logged.append)
+
+    async def test_a_drain_holds_over_a_restart_of_the_gateway(self):
+        self.gateway.operate(word())
+        self.gateway.operate(word("b9", "off"))
+        self.gateway.abort()
+        self.begin()
+        await self.play(f"""
+            p1 send POST botSessions | {bot("b1")}
+            p1 expect 200
+            c1 send POST tasks | {task(left=300)}
+            c1 expect 200 answer=refused
+        """)
+        self.gateway.operate(word(state="ready", fence=4))
+        await self.play(f"""
+            c1 send POST tasks | {task(key="a2")}
+            p1 send PATCH $session X-Server-Timeout=9 | {{}}
+            p1 expect 200 leases.0.state=PENDING
+            p1 send PATCH $session | {lease("ACTIVE")}
+            c1 expect 200 answer=placed
+        """)
+
+    async def test_a_word_that_is_not_on_the_disk_is_not_in_force(self):
+        self.gateway._words._broken = "the disk is gone"
+        with self.assertRaises(OSError):
+            self.gateway.operate(word())
+        assert not self.gateway.operators.words
+
+    async def test_a_broken_file_of_words_is_named_and_nothing_starts(self):
+        self.gateway.operate(word())
+        self.gateway.operate(word("b2"))
+        self.gateway.abort()
+        data = bytearray((self.folder / "states").read_bytes())
+        data[40] ^= 1
+        (self.folder / "states").write_bytes(data)
+        with self.assertRaisesRegex(config.ConfigError, "states: .*byte 8"):
+            self.begin()
+
+    async def test_the_control_address_takes_and_lists_words(self):
+        control = Control(
+            {}, ("127.0.0.1", 0), self.gateway, lambda tree: None, self.logged.append, lambda: 7.0
+        )
+        self.addAsyncCleanup(control.end)
+
+        async def call(method, path, body=""):
+            reader, writer = await asyncio.open_connection(*control.listener.address)
+            writer.write(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length:")[1].split()[0])
+            tree = json.loads(await reader.readexactly(length))
+            writer.close()
+            return int(head.split()[1]), tree
+
+        drain = json.dumps({"state": "draining", "fence": 3, "op": "x"})
+        self.assertEqual(200, (await call("PUT", "/v1/machines/b1", drain))[0])
+        code, tree = await call(
+            "PUT", "/v1/machines/b1", json.dumps({"state": "ready", "fence": 2, "op": "y"})
+        )
+        self.assertEqual((409, "FENCE", 3), (code, tree["error"]["code"], tree["error"]["fence"]))
+        code, tree = await call("PUT", "/v1/machines/b1", "{}")
+        self.assertEqual((400, "FIELD"), (code, tree["error"]["code"]))
+        code, tree = await call("GET", "/v1/machines")
+        self.assertEqual({"b1": {"state": "draining", "fence": 3, "op": "x", "since": 7.0}}, tree["machines"])
+        self.gateway._words._broken = "full"
+        self.assertEqual(503, (await call("PUT", "/v1/machines/b2", drain))[0])
--- /dev/null
+++ b/weldhatch/cli/main.py
@@ -0,0 +1,81 @@
+"""The command line's root, and what its faults come to."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+from weldhatch import config, plans
+from weldhatch.applying.runner import Exit
+from weldhatch.cli import output, settings
+from weldhatch.cli.fleet import fleet
+from weldhatch.forms.reader import FormError
+from weldhatch.planning.actions import Unplannable
+from weldhatch.planning.plan import PlanError
+
+OLD_FAULT = 2  # what the calls from before `fleet` end with, as they always did
+
+
+@click.group(invoke_without_command=True)
+@click.option(
+    "--pullqueue",
+    metavar="FILE",
+    default="deploy/pullqueue.toml",
+    show_default=True,
+    help="The file of the pull queue.",
+)
+@click.pass_context
+def root(context: click.Context, pullqueue: str) -> None:
+    """A dispatcher for long-lived tasks. Without a command, it serves."""
+    if context.invoked_subcommand is None:
+        from weldhatch import serving
+
+        serving.run(pullqueue)
+
+
+root.add_command(fleet)
+
+
+@root.command()
+@click.argument("file", metavar="FILE")
+@click.option("--out", metavar="PLAN", help="Where the plan goes (default: FILE.plan).")
+@click.option("--control", metavar="HOST:PORT", help="The running gateway's control address.")
+def plan(file: str, out: str | None, control: str | None) -> None:
+    """Show and write what a pull queue's FILE would change in the running gateway."""
+    out = out or f"{file}.plan"
+    made = settings.plan_file(file, out, control)
+    click.echo(f"{plans.render(made)}\nThe plan is in {out}.")
+
+
+@root.command()
+@click.argument("plan_file", metavar="PLAN")
+@click.option("--control", metavar="HOST:PORT", help="The running gateway's control address.")
+def apply(plan_file: str, control: str | None) -> None:
+    """Carry out a plan of settings, wholly or not at all."""
+    result = settings.apply_file(plan_file, control)
+    if result.exit is not Exit.DONE:
+        raise config.ConfigError("\n  ".join([result.text, *map(str, result.moved)]))
+    click.echo(result.text)
+
+
+def main(words: list[str]) -> int:
+    """Run one command. Faults are one line each on standard error, or one JSON object with --json."""
+    old = words[:1] != ["fleet"]
+    try:
+        code = root.main(args=words, prog_name="weldhatch", standalone_mode=False)
+        return code if isinstance(code, int) else 0
+    except click.exceptions.Abort:
+        return Exit.FAULT
+    except click.ClickException as fault:
+        fault.show()
+        return OLD_FAULT if old else Exit.FAULT
+    except (FormError, Unplannable, PlanError, config.ConfigError, OSError) as fault:
+        lines = str(fault).split("\n")
+        if "--json" in words:
+            click.echo(
+                output.encode(output.FaultShown(error=type(fault).__name__, lines=lines, exit=Exit.FAULT))
+            )
+        for line in lines:
+            print(f"weldhatch: {line}", file=sys.stderr)
+        return OLD_FAULT if old else Exit.FAULT
--- /dev/null
+++ b/weldhatch/cli/settings.py
@@ -0,0 +1,80 @@
+"""Plan and apply of a running gateway's settings: the same refusals and the same kind of journal as a
+fleet's."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from weldhatch import config, plans
+from weldhatch.applying.journal import stamp
+from weldhatch.applying.runner import Exit, Result
+from weldhatch.planning.moved import Moved
+from weldhatch.store.lock import Lock
+from weldhatch.store.log import Log
+
+
+def is_plan(data: bytes) -> bool:
+    """Is a plan file one of settings? Anything that can't be told is left to the fleet's reader."""
+    try:
+        tree = json.loads(data)
+    except ValueError:
+        return False
+    return isinstance(tree, dict) and "target" in tree and "base" in tree
+
+
+def plan_file(path: str, out: str, control: str | None) -> dict:
+    """Make the plan that turns the running gateway into what a file says, and write it to `out`."""
+    target = config.pull_queue_tree(path)
+    config.pull_queue(target)
+    made = plans.make(plans.Gateway(plans.address(target, control)).applied(), target)
+    with open(out, "w", encoding="utf-8") as file:
+        json.dump(made, file, indent=1)
+    return made
+
+
+def apply_file(path: str, control: str | None) -> Result:
+    """Carry a plan of settings out, with a journal beside it.
+
+    The gateway takes it wholly or not at all, so a cut-off apply is told by asking what the gateway runs:
+    that
+    is done first, and a plan that is in force already is not sent again.
+    """
+    made = plans.read(path)
+    gateway = plans.Gateway(plans.address(made["target"], control))
+    return _apply(path, made, gateway)
+
+
+def _apply(path: str, made: dict, gateway: plans.Gateway) -> Result:
+    import time
+
+    lock = Lock(f"{path}.lock", f"an apply of {path}", stamp(time.time()))
+    try:
+        journal = Log(f"{path}.journal")
+        try:
+            cut_off = [json.loads(one)["record"] for one in journal.records()][-1:] == ["intent"]
+
+            def note(record: str, **figures: object) -> None:
+                journal.append([json.dumps({"record": record, "at": time.time(), **figures}).encode()])
+
+            now = gateway.applied()
+            if plans.fingerprint(now) == plans.fingerprint(made["target"]):
+                if cut_off:
+                    note("done", applied=len(made["changes"]))
+                return Result(Exit.DONE, "the gateway runs what the plan says already: nothing was done")
+            if moved := plans.moved(made, now):
+                return Result(
+                    Exit.MOVED,
+                    "the applied configuration has moved on; make a new plan",
+                    tuple(Moved(*one) for one in moved),
+                )
+            note("intent", base=made["base"])
+            told = gateway.apply(made)
+            note("done", applied=told["applied"])
+            then = "; the gateway starts anew." if told["restarting"] else "."
+            return Result(Exit.DONE, f"{told['applied']} changes applied{then}")
+        finally:
+            journal.close()
+    finally:
+        lock.close()
+        Path(f"{path}.lock").unlink(missing_ok=True)
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -7,12 +7,18 @@
 from __future__ import annotations
 
 import json
+import os
 import tomllib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from weldhatch import interface as i
 
+if TYPE_CHECKING:
+    from weldhatch.planning.engine import Patience
+    from weldhatch.planning.fleet import Fleet
+
 # ---- settings -------------------------------------------------------------------------------------------
 
 _EFFECTS = {"read_like": i.Effect.SAFE, "idempotency_key": i.Effect.KEYED, "non_idempotent": i.Effect.UNSAFE}
@@ -309,6 +315,7 @@
     listen: tuple[str, int]
     control: tuple[str, int] | None
     ledger: str
+    states: str
     connections: int
     sockets: int
     remember: int
@@ -317,7 +324,7 @@
 
 
 PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "control": "", "ledger": "",
-                 "connections": 256, "sockets": 1024, "remember": 100_000}
+                 "states": "", "connections": 256, "sockets": 1024, "remember": 100_000}
 TIMING_DEFAULTS = {"lease": 3.0, "grace": 0.5, "session": 15.0, "pickup": 1.0, "poll": 1.0, "settle": 3.5}
 
 
@@ -357,6 +364,7 @@
     return PullQueueFile(
         control=endpoint("control", control) if control else None,
         ledger=_key(tree, "ledger", str, PULL_DEFAULTS["ledger"]),
+        states=_key(tree, "states", str, PULL_DEFAULTS["states"]),
         enabled=_key(tree, "enabled", bool, PULL_DEFAULTS["enabled"]),
         listen=endpoint("listen", _key(tree, "listen", str, PULL_DEFAULTS["listen"])),
         **counts, timing=Timing(**spans), settings=settings_of_json(_key(tree, "settings", dict)))
@@ -373,3 +381,66 @@
             return tomllib.load(file)
     except (OSError, ValueError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
+
+
+# ---- the fleet's file, for the commands of `weldhatch fleet` ----------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class FleetFile:
+    """A fleet as its file names it: the commands look at the nodes themselves for their states."""
+
+    name: str
+    journal: str  # the folder of the applies' journal
+    gateways: tuple[str, ...]  # host:port of the control addresses that hear of drains
+    control: dict[str, str]  # host:port of each node's control address, by its id
+    fleet: Fleet
+    patience: Patience
+
+
+def fleet_file(path: str) -> FleetFile:
+    """The fleet of a TOML file. A fault names the file and the key."""
+    import msgspec  # only the commands read this file; `run` stays without it
+
+    from weldhatch.planning.engine import Patience
+    from weldhatch.planning.fleet import Fleet, Node, Pace, ServiceClass
+
+    tree = toml_file(path)
+    for key in tree:
+        if key not in ("name", "journal", "gateways", "pace", "patience", "classes", "nodes"):
+            raise ConfigError(f"{path}: {key} is no key of a fleet's file")
+
+    def part(value: object, kind: type, key: str) -> object:
+        try:
+            return msgspec.convert(value, kind)
+        except msgspec.ValidationError as fault:
+            text, _, at = str(fault).partition(" - at `$")
+            raise ConfigError(f"{path}: {key}{at.rstrip('`')}: {text}") from None
+
+    entries = tree.get("nodes", [])
+    if not isinstance(entries, list) or not all(isinstance(entry, dict) for entry in entries) or not entries:
+        raise ConfigError(f"{path}: nodes: a table [[nodes]] for each node is needed")
+    nodes, control = [], {}
+    for n, entry in enumerate(entries):
+        key = f"nodes[{n}]"
+        address = part(entry.get("control"), str, f"{key}.control")
+        node = part({name: value for name, value in entry.items() if name != "control"}, Node, key)
+        if node.id in control:
+            raise ConfigError(f"{path}: {key}.id: {node.id} is named twice")
+        if not node.cores > 0 or not node.memory > 0:
+            raise ConfigError(f"{path}: {key}: cores and memory are more than 0")
+        control[node.id] = ":".join(map(str, endpoint(f"{path}: {key}.control", address)))
+        nodes.append(node)
+    for rack in {node.rack for node in nodes}:
+        if len({node.hall for node in nodes if node.rack == rack}) > 1:
+            raise ConfigError(f"{path}: nodes: the rack {rack} stands in two halls")
+    gateways = part(tree.get("gateways", []), tuple[str, ...], "gateways")
+    for gateway in gateways:
+        endpoint(f"{path}: gateways", gateway)
+    classes = part(tree.get("classes", []), tuple[ServiceClass, ...], "classes")
+    journal = part(tree.get("journal", "fleet-journal"), str, "journal")
+    return FleetFile(
+        name=part(tree.get("name", "fleet"), str, "name"),
+        journal=os.path.join(os.path.dirname(path), journal), gateways=gateways, control=control,
+        fleet=Fleet(nodes, classes, part(tree.get("pace", {}), Pace, "pace")),
+        patience=part(tree.get("patience", {}), Patience, "patience"))
--- a/weldhatch/nodes/client.py
+++ b/weldhatch/nodes/client.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from weldhatch.nodes.protocol import SILENCE, Answer, NodeOrder, Operator, read_node, read_refusal
@@ -49,7 +49,7 @@
         )
         try:
             answer = await self._client.fetch(request, raise_error=False)
-        except (OSError, ValueError):
+        except (OSError, ValueError, HTTPClientError):  # refused, cut off, or no HTTP
             return None
         return None if answer.code == 599 else answer
 
--- a/weldhatch/plans.py
+++ b/weldhatch/plans.py
@@ -13,7 +13,7 @@
 
 from weldhatch import config
 
-VERSION = 1
+VERSION = 2
 LIVE = ("listen", "connections", "remember", "timing.")  # all other keys need a restart
 
 
@@ -36,8 +36,25 @@
 def make(applied: Mapping, target: dict) -> dict:
     """The plan that turns what is applied into the target."""
     config.pull_queue(target)
-    return {"version": VERSION, "base": fingerprint(applied), "target": target,
-            "changes": changes(applied, target)}
+    plan = {"version": VERSION, "base": fingerprint(applied), "then": config.pull_leaves(applied),
+            "target": target, "changes": changes(applied, target)}
+    return {**plan, "checksum": checksum(plan)}
+
+
+def checksum(plan: Mapping) -> str:
+    """Of all but itself: a plan that was edited by hand is told by it."""
+    rest = {key: value for key, value in plan.items() if key != "checksum"}
+    return hashlib.sha256(json.dumps(rest, sort_keys=True).encode()).hexdigest()
+
+
+def moved(plan: Mapping, applied: Mapping) -> list[tuple[str, str, str, str]]:
+    """What has moved since the plan was made: key, as planned, then, now. All keys of the file are its
+    base."""
+    then, now = plan["then"], config.pull_leaves(applied)
+    planned = {change["key"]: change["to"] for change in plan["changes"]}
+    return [(key, json.dumps(planned[key]) if key in planned else "as it is",
+             json.dumps(then.get(key)), json.dumps(now.get(key)))
+            for key in sorted(then.keys() | now.keys()) if then.get(key) != now.get(key)]
 
 
 def render(plan: Mapping) -> str:
@@ -60,6 +77,8 @@
     plan = config.json_file(path)
     if plan.get("version") != VERSION or not isinstance(plan.get("target"), dict) or "base" not in plan:
         raise config.ConfigError(f"{path}: version: this is no plan of version {VERSION}")
+    if plan.get("checksum") != checksum(plan):
+        raise config.ConfigError(f"{path}: checksum: the file is not as it was written; make a new plan")
     return plan
 
 
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -19,6 +19,7 @@
 from weldhatch.core.ports import LetGo
 from weldhatch.pullqueue.http import HttpError, Request
 from weldhatch.pullqueue.leases import Lease, Ledger, Phase
+from weldhatch.pullqueue.operators import Operators
 from weldhatch.setups import Setup
 
 REPLY_MOST = 48 * 1024  # what one answer hands out at the most; the rest waits for the next
@@ -63,10 +64,10 @@
 class Bots:
     """All build machines of this gateway."""
 
-    def __init__(self, settings: i.Settings, timing: Timing, ledger: Ledger,
+    def __init__(self, settings: i.Settings, timing: Timing, ledger: Ledger, operators: Operators,
                  changed: Callable[[i.MachinesChanged], None], log: Callable[[str], None]) -> None:
         self._settings, self.timing, self._ledger = settings, timing, ledger
-        self._changed, self._log = changed, log
+        self._changed, self._log, self._operators = changed, log, operators
         self._halls = {name: n for n, name in enumerate(settings.zones)}
         self._racks: dict[str, int] = {}
         self._bots: dict[str, Bot] = {}
@@ -145,7 +146,7 @@
         leases = [{"id": id, "state": "CANCELLED"} for id in to_end]
         leases += [self._shown(lease) for lease in bot.leases.values()
                    if lease.id in known and lease.phase in (Phase.PENDING, Phase.ACTIVE, Phase.CANCELLED)]
-        if not to_end and state == i.MachineState.READY and not request.closed():
+        if not to_end and self._stands(bot) is i.MachineState.READY and not request.closed():
             leases += self._hand_out(bot)
         return {"name": bot.session, "botId": bot.id, "status": "OK", "leases": leases,
                 "expireTime": _rfc3339(bot.expires)}
@@ -249,13 +250,33 @@
 
     def _tell(self, bot: Bot) -> None:
         self._changed(i.MachinesChanged(i.ListForm.DELTA, (i.Machine(
-            bot.machine, bot.hall, 0, bot.rack, bot.state, cores=bot.cores, memory=bot.memory),)))
+            bot.machine, bot.hall, 0, bot.rack, self._stands(bot), cores=bot.cores, memory=bot.memory),)))
+
+    def _stands(self, bot: Bot) -> i.MachineState:
+        """A machine's own word and the operator's together; it gets new work only where both say ready."""
+        return self._operators.merged(bot.id, bot.state)
+
+    def operated(self, bot_id: str) -> None:
+        """An operator's word on this machine has changed. What waits for it has never run, and goes
+        elsewhere."""
+        bot = self._bots.get(bot_id)
+        if bot is None:
+            return
+        self._tell(bot)
+        if self._stands(bot) is not i.MachineState.READY:
+            for lease in [lease for lease in bot.leases.values() if lease.phase is Phase.WAITING]:
+                self._end(lease, i.Outcome.NOT_SENT)
+
+    def machines(self) -> dict[str, dict]:
+        """Each machine that is known, for the control address."""
+        return {bot.id: {"own": bot.state.name.lower(), "leases": len(bot.leases)}
+                for bot in self._bots.values()}
 
     # ---- what the core asks for ----------------------------------------------------------------------------
 
     def offer(self, machine: int, task: ports.Task, attempt: int, wait_us: int, teller: ports.Teller) -> None:
         bot = self._machines.get(machine)
-        if bot is None or not bot.session:
+        if bot is None or not bot.session or self._stands(bot) is not i.MachineState.READY:
             teller.tell(ports.Ended(attempt, i.Outcome.NOT_SENT))
             return
         lease = Lease(self._name("leases"), machine, task, attempt, teller)
--- a/weldhatch/pullqueue/control.py
+++ b/weldhatch/pullqueue/control.py
@@ -14,16 +14,30 @@
 from weldhatch.net.listener import Listener
 from weldhatch.pullqueue.front import PullQueue
 from weldhatch.pullqueue.http import HttpError, HttpLink, Request
+from weldhatch.pullqueue.operators import WordError, read_word
 
 CONNECTIONS = 8
 
 
+class Refused(HttpError):
+    """A word that is not taken, as the node-control protocol says it."""
+
+    def __init__(self, fault: WordError) -> None:
+        super().__init__(400 if fault.code == "FIELD" else 409, str(fault), fault.field)
+        self._fault = fault
+
+    def body(self) -> dict:
+        error = {"code": self._fault.code, "message": str(self._fault)}
+        return {"error": {**error, "fence": self._fault.fence} if self._fault.fence else error}
+
+
 class Control:
     """Holds the applied configuration. `restart` is called with a tree that only a new start can apply."""
 
     def __init__(self, tree: dict, address: tuple[str, int], front: PullQueue,
-                 restart: Callable[[dict], None], log: Callable[[str], None]) -> None:
-        self._tree, self._front, self._restart, self._log = tree, front, restart, log
+                 restart: Callable[[dict], None], log: Callable[[str], None],
+                 clock: Callable[[], float]) -> None:
+        self._tree, self._front, self._restart, self._log, self._clock = tree, front, restart, log, clock
         self._share = Share(Budget(64), CONNECTIONS)
         self._links: dict[Connection, asyncio.Task] = {}
         self.listener = Listener(address, self._share, self._taken)
@@ -40,6 +54,10 @@
                 return {"tree": self._tree, "fingerprint": plans.fingerprint(self._tree)}, {}
             case "POST", "/v1/apply":
                 return self._apply(request.json()), {}
+            case "GET", "/v1/machines":
+                return {"machines": self._machines()}, {}
+            case "PUT", path if path.startswith("/v1/machines/"):
+                return self._operate(path.removeprefix("/v1/machines/"), request.json()), {}
         raise HttpError(404, "path: nothing is there", "path")
 
     def _apply(self, plan: dict) -> dict:
@@ -68,6 +86,24 @@
         self._log(f"applied a plan of {len(todo)} changes")
         return {"applied": len(todo), "restarting": any(change["restart"] for change in todo)}
 
+    def _machines(self) -> dict[str, dict]:
+        """All machines that are known here, or that an operator has said something of."""
+        known = self._front.bots.machines()
+        words = {name: {"state": word.state, "fence": word.fence, "op": word.op, "since": word.at}
+                 for name, word in self._front.operators.words.items()}
+        return {name: {"state": "ready", **known.get(name, {}), **words.get(name, {})}
+                for name in sorted(known.keys() | words.keys())}
+
+    def _operate(self, machine: str, tree: dict) -> dict:
+        try:
+            word = read_word(machine, tree, self._clock())
+            self._front.operate(word)
+        except WordError as fault:
+            raise Refused(fault) from None
+        except OSError as fault:  # it is not on the disk, so it is not in force
+            raise HttpError(503, f"states: {fault}") from None
+        return {"machine": machine, "state": word.state, "fence": word.fence}
+
     def _try_addresses(self, told: config.PullQueueFile) -> None:
         """A restart that could not listen again would leave nothing running: it is tried first."""
         now = config.pull_queue(self._tree)
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -7,7 +7,7 @@
 
 from tornado.iostream import IOStream
 
-from weldhatch.config import PullQueueFile
+from weldhatch.config import ConfigError, PullQueueFile
 from weldhatch.core.driver import Driver
 from weldhatch.core.life import Core
 from weldhatch.core.ports import Decider
@@ -17,7 +17,9 @@
 from weldhatch.pullqueue.bots import Bots
 from weldhatch.pullqueue.http import HttpError, HttpLink, Request
 from weldhatch.pullqueue.leases import Ledger
+from weldhatch.pullqueue.operators import Operators, Word
 from weldhatch.pullqueue.tasks import Tasks
+from weldhatch.store.log import Log
 
 PREFIX = "/v1test2/"
 FINISH_S = 0.5
@@ -38,7 +40,9 @@
         self.driver = Driver(policy, log)
         ledger = self._ledger = Ledger(told.remember, told.ledger)
         ledger.open()
-        self.bots = Bots(settings, told.timing, ledger, self.driver.post, log)
+        self.operators = Operators()
+        self._words = self._open_words(told.states)
+        self.bots = Bots(settings, told.timing, ledger, self.operators, self.driver.post, log)
         self.driver.site, self.driver.directory = self.bots, NoDirectory()
         self.core = Core(self.driver, self.bots, log)
         self.tasks = Tasks(settings, self.core, self.bots, ledger, log)
@@ -46,6 +50,31 @@
         self._links: dict[Connection, asyncio.Task] = {}
         self.listener = Listener(told.listen, self._share, self._taken)
 
+    def _open_words(self, path: str) -> Log | None:
+        """Operators' words outlast the gateway where `states` names a file for them."""
+        if not path:
+            return None
+        try:
+            words = Log(path)
+            if words.torn is not None:
+                self._log(f"states: {path}: the last {words.torn.length} bytes were no whole record: dropped")
+            self.operators.restore(words.records())
+            if words.count > 2 * len(self.operators.words) + 100:
+                words.rewrite(word.encode() for word in self.operators.words.values())
+        except (OSError, ValueError) as fault:
+            raise ConfigError(f"states: {fault}") from None
+        return words
+
+    def operate(self, word: Word) -> None:
+        """Take an operator's word: on the disk first, then in force. Raises WordError, or OSError for the
+        disk."""
+        if self.operators.check(word):
+            if self._words is not None:
+                self._words.append([word.encode()])
+            self.operators.take(word)
+            self._log(f"operator: {word.machine} {word.state}, fence {word.fence}")
+            self.bots.operated(word.machine)
+
     def _taken(self, stream: IOStream, host: str) -> None:
         connection = Connection(stream, self._share, f"pull queue client {host}", self._log)
         link = HttpLink(connection, self._route, self._log)
@@ -87,6 +116,8 @@
             connection.close()
         self.bots.close()
         self._ledger.close()
+        if self._words is not None:
+            self._words.close()
 
     def reconfigure(self, told: PullQueueFile) -> None:
         """Take over all that can change while it runs. What can fail comes first: wholly or not at all."""
--- /dev/null
+++ b/weldhatch/serving.py
@@ -0,0 +1,167 @@
+"""`run`: wires the parts together, heeds signals, and serves until it is told to end. No command line
+here."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+
+from weldhatch import config
+from weldhatch.core.driver import Driver
+from weldhatch.core.life import Core
+from weldhatch.net.budget import Budget, Share
+from weldhatch.net.listener import Listener
+from weldhatch.platform.bus import Bus
+from weldhatch.platform.fleet import Fleet
+from weldhatch.platform.owners import Owners
+from weldhatch.platform.servers import Servers
+from weldhatch.policy import Policy
+from weldhatch.pullqueue.control import Control
+from weldhatch.pullqueue.front import PullQueue
+
+LISTEN_ON_S = 0.7  # after SIGTERM requests keep coming for so long, and are served
+FLUSH_S = 0.5
+DEADLINE_MOST_S = 3.0  # SIGKILL comes LISTEN_ON_S after the longest deadline, counted as this where longer
+SPARE_S = 0.25  # a planned end is over so long before that
+ANSWER_S = 0.2  # a plan that asks for a restart is answered before it
+
+
+def log(text: str) -> None:
+    print(f"{time.time():.3f} {text}", file=sys.stderr, flush=True)
+
+
+class Gateway:
+    """The platform's front on the core, from the first byte to the last answer."""
+
+    def __init__(self, told: config.Platform, log: Callable[[str], None]) -> None:
+        settings = told.settings
+        self._started, self._log = told, log
+        budget = self.budget = Budget(told.sockets)
+        self.driver = Driver(Policy(settings, told.seed), log)
+        self.servers = Servers(settings, Share(budget, budget.most), told.dial_s, told.probe_s, log)
+        self.fleet = Fleet(settings, self.servers.changed, log)
+        self.bus = Bus(told.bus, Share(budget, 2), lambda: self.fleet.offset, self._told, log)
+        self.driver.site, self.driver.directory = self.servers, self.bus
+        self.core = Core(self.driver, self.servers, log)
+        for event in told.known:
+            self._told(event)
+        # Guards against a module that does not ask: its settings may say that changes come by
+        # themselves, and here they come only to those who read the bus.
+        self.bus.subscribe(True)
+        # Owners keep at most a third of the descriptors and others may come on top; whatever they do, a
+        # third is left for the servers.
+        share = Share(budget, min(told.sockets * 2 // 3, budget.most - 8))
+        self.owners = Owners(settings, self.core, share, log)
+        self.listener = Listener(told.listen, share, self.owners.taken, self.owners.make_room)
+
+    def _told(self, event: dict) -> None:
+        if changed := self.fleet.take(event):
+            self.driver.post(changed)
+
+    def reconfigure(self, told: config.Platform) -> None:
+        """Take over what can change while it runs: the address of the event bus, and events we missed."""
+        for event in told.known:
+            self._told(event)
+        self.bus.move(told.bus)
+        for key, now, then in (("listen", self._started.listen, told.listen),
+                               ("limits.sockets", self._started.sockets, told.sockets),
+                               ("settings", self._started.settings, told.settings)):
+            if now != then:
+                self._log(f"configuration: {key} has changed, which takes a restart")
+
+    async def end(self) -> None:
+        """A planned end: whatever was taken is answered, and what still comes is served for its span.
+
+        Tasks that stand are looked after for as long as there is: until a new dispatcher is there, nobody
+        else tells their owners that they are over. What is unanswered then is waited for, as it would be
+        lost otherwise.
+        """
+        longest = max(cls.deadline_us for cls in self._started.settings.classes) / 1e6
+        end = time.monotonic() + min(longest, DEADLINE_MOST_S) + LISTEN_ON_S - SPARE_S
+        await asyncio.sleep(LISTEN_ON_S)
+        self.listener.close()
+        self.owners.ending = True
+        while self.core.unanswered or (self.core.lives and time.monotonic() < end):
+            await asyncio.sleep(0.01)
+        await self.owners.finish_all(FLUSH_S)
+        self.abort()
+
+    def abort(self) -> None:
+        """Give back every socket at once."""
+        self.listener.close()
+        self.owners.close()
+        self.bus.close()
+        self.servers.close()
+
+
+class Running:
+    """The fronts of this process, from their start to their planned end."""
+
+    def __init__(self, pull_file: str) -> None:
+        tree = config.pull_queue_tree(pull_file) if os.path.exists(pull_file) else {}
+        pull = config.pull_queue(tree) if tree else None
+        self.stop, self.next_tree, self.fronts = asyncio.Event(), None, []
+        self._gateway: Gateway | None = None
+        if "PROXY_CONFIG" in os.environ or pull is None or not pull.enabled:
+            told = config.platform(os.environ)
+            self._gateway = Gateway(told, log)
+            self.fronts.append(self._gateway)
+            log(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
+        if pull is not None and pull.enabled:
+            front = PullQueue(pull, Policy(pull.settings, random.getrandbits(64)), log)
+            self.fronts.append(front)
+            log(f"pull queue listens on {pull.listen[0]}:{pull.listen[1]}")
+            if pull.control is not None:
+                self.fronts.append(Control(tree, pull.control, front, self.restart, log, time.time))
+
+    def restart(self, tree: dict) -> None:
+        self.next_tree = tree
+        asyncio.get_running_loop().call_later(ANSWER_S, self.stop.set)
+
+    def reload(self) -> None:
+        """SIGHUP: read the platform's file again. One that can't be used is logged, and the old one stays."""
+        if self._gateway is None:
+            log("told to read the configuration again: the pull queue's is changed by plan and apply")
+            return
+        try:
+            self._gateway.reconfigure(config.platform(os.environ))
+        except ValueError as fault:  # a ConfigError, or an event under `known` that can't be read
+            log(f"configuration not taken over, the old one stays: {fault}")
+        else:
+            log("configuration read again")
+
+    async def end(self) -> None:
+        await asyncio.gather(*(front.end() for front in self.fronts))
+
+
+async def serve(pull_file: str) -> dict | None:
+    """Serve until told to end; the configuration to start anew with, where a plan asked for that."""
+    running = Running(pull_file)
+    for name in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(name, running.stop.set)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, running.reload)
+    gc.collect()
+    gc.freeze()
+    await running.stop.wait()
+    log("told to end")
+    await running.end()
+    log("ended")
+    return running.next_tree
+
+
+def run(pull_file: str) -> None:
+    tree = asyncio.run(serve(pull_file))
+    if tree is not None:
+        folder = tempfile.mkdtemp(prefix="weldhatch-")
+        path = os.path.join(folder, "applied.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(tree, file)
+        os.execv(sys.executable, [sys.executable, "-m", "weldhatch", "--pullqueue", path])
