--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: `python -m benchmarks.NAME [--quick]`. No part of CI."""
--- a/weldhatch/planning/search.py
+++ b/weldhatch/planning/search.py
@@ -17,7 +17,8 @@
 from weldhatch.planning.model import Model
 
 WAVES_MOST = 24  # where greedy finds nothing, a solver looks no further than this
-EFFORT = 4.0  # of one call of a solver
+EFFORT = 4.0  # of one call of a solver, on a small model
+VARIABLES = 200  # a model with more of them gets less in proportion
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,14 +47,18 @@
     least = least_waves(change, fleet, todo)
     best, used = plain, "greedy"
     proven = plain is not None and len(plain) <= least
-    if way != "greedy" and not (proven and len(plain) == 1):
-        most = len(plain) if plain is not None else min(len(todo), _most(change))
-        # With no fewer waves to be had, only time can be won, and less of it is spent on that.
-        if found := _solve(change, fleet, todo, most, way, effort / 4 if proven else effort):
-            waves, optimal = found
-            if best is None or _worth(waves, fleet) < _worth(best, fleet):
-                best, used = waves, way
-            proven = proven or optimal
+    if way != "greedy" and best is None:
+        best, proven = _solve(change, fleet, todo, min(len(todo), _most(change)), way, effort)
+        used = way
+    elif way != "greedy" and len(best) > 1:
+        if not proven:
+            # Are fewer waves possible at all? Without the last wave the question is a smaller one.
+            better, known = _solve(change, fleet, todo, len(best) - 1, way, effort)
+            best, used, proven = (better, way, known) if better else (best, used, known)
+        # With no fewer waves to be had, only time can be won, and little is spent on that.
+        quicker, _ = _solve(change, fleet, todo, len(best), way, effort / 8)
+        if quicker and _worth(quicker, fleet) < _worth(best, fleet):
+            best, used = quicker, way
     if best is None:
         raise _impossible(change, fleet, way, effort, breaks(change, fleet, _all_then_all(todo)))
     return Search(
@@ -71,14 +76,17 @@
 
 def _solve(
     change: Change, fleet: Fleet, todo: tuple[Action, ...], most: int, way: str, effort: float
-) -> tuple[Waves, bool] | None:
+) -> tuple[Waves | None, bool]:
+    """Waves, at most so many, or None; and whether that answer is proven."""
     model = Model(change, fleet, todo, most)
-    found = SOLVERS[way](model.program, effort, None)
+    # A large model gets less of it: its work is slower than a second each.
+    share = min(1.0, VARIABLES / len(model.program.bounds))
+    found = SOLVERS[way](model.program, effort * share, None)
     if found.values is None:
-        return None
+        return None, found.proven
     waves = model.waves(found.values)
     # Guards against a model that says less than the checks: its waves are not taken on trust.
-    return None if breaks(change, fleet, waves) else (waves, found.proven)
+    return (None, False) if breaks(change, fleet, waves) else (waves, found.proven)
 
 
 def least_waves(change: Change, fleet: Fleet, todo: Iterable[Action]) -> int:
@@ -117,9 +125,8 @@
         return False
     if not todo or greedy(change, fleet, todo) is not None:
         return True
-    return (
-        way != "greedy"
-        and _solve(change, fleet, todo, min(len(todo), _most(change)), way, effort) is not None
+    return way != "greedy" and bool(
+        _solve(change, fleet, todo, min(len(todo), _most(change)), way, effort)[0]
     )
 
 
