--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,328 @@
+"""The pull queue over a restart: what is out goes on, answers are heard again, and broken stores are
+named."""
+
+import asyncio
+import json
+import shutil
+import tempfile
+from pathlib import Path
+from typing import ClassVar
+
+from scenario import SETTINGS, Client, Scenario
+from test_pullqueue import bot, lease, task
+
+from weldhatch import config
+from weldhatch.policy import Policy
+from weldhatch.pullqueue import durable
+from weldhatch.pullqueue.front import PullQueue
+from weldhatch.store.log import Log, LogError
+
+
+class Kept(Scenario):
+    """A gateway with a store; `again` kills it and starts the next one on the same folder."""
+
+    newcomer = Client
+    timing: ClassVar = {"lease": 30, "grace": 0.2, "session": 60, "pickup": 10, "poll": 10, "settle": 0}
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        self.parties, self.logged = {}, []
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.store = self.folder / "store"
+        self.begin()
+
+    def begin(self, **more):
+        settings = json.loads(json.dumps(SETTINGS))
+        settings["extra"] |= {"cpuBooking": 1, "memBooking": 1}
+        told = config.pull_queue(
+            {
+                "enabled": True,
+                "listen": "127.0.0.1:0",
+                "store": str(self.store),
+                "timing": {**self.timing, **more},
+                "settings": settings,
+            }
+        )
+        self.gateway = PullQueue(told, Policy(told.settings, 5), self.logged.append)
+
+    async def again(self, **more):
+        await self.gateway.book.flush()
+        self.gateway.abort()
+        self.begin(**more)
+
+    async def placed(self, cls="unsafe", key="a1", **more):
+        await self.play(f"""
+            p1 send POST botSessions | {bot("b1")}
+            p1 expect 200
+            p1 send PATCH $session X-Server-Timeout=9 | {{}}
+            c1 send POST tasks | {task(cls, key, **more)}
+            p1 expect 200 leases.0.state=PENDING
+            p1 send PATCH $session | {lease("ACTIVE")}
+            c1 expect 200 answer=placed
+            p1 expect 200 leases.0.state=ACTIVE
+        """)
+        return self.parties["p1"].seen["lease"], self.parties["c1"].seen["task"]
+
+    def back(self, held, state="ACTIVE"):
+        return json.dumps({**json.loads(bot("b1")), "leases": [{"id": held, "state": state}]})
+
+
+class Restarts(Kept):
+    async def test_a_lease_goes_on_and_its_end_is_told_under_the_old_name(self):
+        held, name = await self.placed()
+        await self.again()
+        await self.play(f"""
+            c2 send GET {name}
+            c2 expect 200 state=PLACED
+            p2 send POST botSessions | {self.back(held)}
+            p2 expect 200 leases.0.id={held} leases.0.state=ACTIVE
+            c2 send POST tasks | {task("unsafe")}
+            c2 expect 409
+            p2 send PATCH $session | {json.dumps({"leases": [{"id": held, "state": "COMPLETED",
+                                                             "result": {"files": 3}}]})}
+            p2 expect 200 leases=[]
+            c2 send GET {name.replace("tasks", "operations")}
+            c2 expect 200 done=True response.result.files=3
+            c2 send POST tasks | {task("unsafe")}
+            c2 expect 200 answer=failed
+        """)
+        self.assertIn("1 leases go on", " ".join(self.logged))
+
+    async def test_a_key_stays_spent_over_two_restarts(self):
+        held, _ = await self.placed()
+        await self.play(f"p1 send PATCH $session | {lease('COMPLETED')}\np1 expect 200")
+        await self.again()
+        await self.again()
+        await self.play(f"c3 send POST tasks | {task('unsafe')}\nc3 expect 200 answer=failed")
+        assert held not in self.gateway.book.state.leases
+
+    async def test_a_machine_whose_leases_are_all_known_gets_work_at_once(self):
+        """`settle` is for a first start only."""
+        held, _ = await self.placed()
+        holding = json.dumps({"leases": [{"id": held, "state": "ACTIVE"}]})
+        await self.again(settle=30)
+        await self.play(f"""
+            p2 send POST botSessions | {self.back(held)}
+            p2 expect 200 leases.0.state=ACTIVE
+            c2 send POST tasks | {task(key="b2")}
+            p2 send PATCH $session X-Server-Timeout=9 | {holding}
+            p2 expect 200 leases.1.state=PENDING leases.1.payload.key=b2
+        """)
+
+    async def test_a_lease_that_nobody_comes_back_with_ends_at_its_expiry(self):
+        _, name = await self.placed("safe")
+        await self.again(lease=0.5, poll=0.2)
+        await self.play(
+            f"c2 send POST {name.replace('tasks', 'operations')}:wait | {json.dumps({'timeout': '15s'})}\n"
+            "c2 expect 200 done=True metadata.state=LOST error.code=10"
+        )
+
+    async def test_a_machine_that_stopped_a_lease_while_nobody_was_there_says_so(self):
+        held, name = await self.placed("safe")
+        await self.again()
+        await self.play(f"""
+            p2 send POST botSessions | {self.back(held, "CANCELLED")}
+            p2 expect 200 leases=[]
+            c2 send GET {name}
+            c2 expect 200 state=LOST
+        """)
+
+    async def test_a_lease_handed_out_and_not_begun_is_answered_by_the_next_gateway(self):
+        await self.play(f"""
+            p1 send POST botSessions | {bot("b1")}
+            p1 expect 200
+            p1 send PATCH $session X-Server-Timeout=9 | {{}}
+            c1 send POST tasks | {task("unsafe", requestId="r-1")}
+            p1 expect 200 leases.0.state=PENDING
+        """)
+        held = self.parties["p1"].seen["lease"]
+        await self.again()
+        await self.play(f"c2 send POST tasks | {task('unsafe', requestId='r-1')}")
+        await self.play(f"""
+            p2 send POST botSessions | {self.back(held)}
+            p2 expect 200 leases.0.state=ACTIVE
+            c2 expect 200 answer=placed botId=b1
+        """)
+
+    async def test_an_answer_that_was_lost_is_heard_again_by_its_request_id(self):
+        _, name = await self.placed(requestId="r-7")
+        await self.play(
+            f"c2 send POST tasks | {task('unsafe', requestId='r-7')}\nc2 expect 200 answer=placed name={name}"
+        )
+        await self.again()
+        await self.play(f"""
+            c3 send POST tasks | {task("unsafe", requestId="r-7")}
+            c3 expect 200 answer=placed name={name}
+            c3 send POST tasks | {task("safe", "ff", requestId="r-7")}
+            c3 expect 409 error.details.0.fieldViolations.0.field=requestId
+        """)
+
+    async def test_a_submission_that_never_left_is_asked_for_anew_where_somebody_may_come(self):
+        await self.play(
+            f"c1 send POST operations | {task('unsafe')}\nc1 expect 200 done=False metadata.state=ASKED"
+        )
+        await self.again()
+        await self.play(f"""
+            p2 send POST botSessions | {bot("b1")}
+            p2 expect 200
+            p2 send PATCH $session X-Server-Timeout=9 | {{}}
+            p2 expect 200 leases.0.state=PENDING leases.0.payload.key=a1
+        """)
+
+    async def test_a_late_end_of_a_lease_whose_submission_was_answered_frees_its_key(self):
+        await self.play(f"""
+            p1 send POST botSessions | {bot("b1")}
+            p1 expect 200
+            p1 send PATCH $session X-Server-Timeout=9 | {{}}
+            c1 send POST tasks | {task("keyed", left=300)}
+            p1 expect 200 leases.0.state=PENDING
+            c1 expect 200 answer=failed
+        """)
+        held = self.parties["p1"].seen["lease"]
+        await self.again()
+        await self.play(f"""
+            c2 send POST tasks | {task("keyed")}
+            c2 expect 200 answer=refused
+            p2 send POST botSessions | {self.back(held, "CANCELLED")}
+            p2 expect 200
+            c2 send POST tasks | {task("keyed")}
+            p2 send PATCH $session X-Server-Timeout=9 | {{}}
+            p2 expect 200 leases.0.state=PENDING
+        """)
+
+
+class Stores(Kept):
+    async def test_an_older_copy_of_the_store_gives_nothing_out(self):
+        copy = self.folder / "copy"
+        await self.gateway.book.flush()
+        shutil.copytree(self.store, copy)
+        await self.again()
+        held, _ = await self.placed()
+        self.gateway.abort()
+        shutil.rmtree(self.store)
+        copy.rename(self.store)
+        self.begin()
+        await self.play(f"""
+            p2 send POST botSessions | {self.back(held)}
+            p2 expect 503 error.details.0.fieldViolations.0.field=store
+            p2 send POST botSessions | {bot("b2")}
+            p2 expect 503
+            c2 send POST tasks | {task("unsafe")}
+            c2 expect 503
+        """)
+        self.assertIn("older copy", " ".join(self.logged))
+
+    async def test_a_session_of_a_later_gateway_shows_an_older_store_too(self):
+        await self.play("p1 send PATCH botSessions/99.abcd-1 | {}\np1 expect 503")
+
+    async def test_a_second_gateway_on_one_store_is_refused(self):
+        with self.assertRaisesRegex(config.ConfigError, "store: .*held by a gateway"):
+            self.begin()
+
+    async def test_a_torn_record_never_left_and_its_lease_is_ended(self):
+        """The last record is cut as a crash cuts it: the lease it told of was not on the wire."""
+        held, _ = await self.placed("safe")
+        await self.gateway.book.flush()
+        self.gateway.abort()
+        path = self.store / "queue.log"
+        data = path.read_bytes()
+        at = data.rindex(b'["handed"') - 16
+        path.write_bytes(data[: at + 20])
+        self.begin()
+        await self.play(
+            f"p2 send POST botSessions | {self.back(held)}\np2 expect 200 leases.0.state=CANCELLED"
+        )
+        self.assertIn("no whole record", " ".join(self.logged))
+
+    async def test_a_flipped_bit_is_named_and_nothing_starts(self):
+        await self.placed("safe")
+        await self.gateway.book.flush()
+        self.gateway.abort()
+        path = self.store / "queue.log"
+        data = bytearray(path.read_bytes())
+        data[60] ^= 4
+        path.write_bytes(data)
+        with self.assertRaisesRegex(config.ConfigError, r"store: .*queue.log: byte \d+"):
+            self.begin()
+        path.write_bytes(b"WHLOG1\r\n")
+        self.begin()
+
+    async def test_a_full_disk_refuses_new_work_loses_none_and_goes_on(self):
+        held, name = await self.placed("safe")
+        log, whole = self.gateway.book._log, Log.append
+
+        def full(payloads):
+            raise LogError("No space left on device")
+
+        log.append = full
+        p1 = json.dumps({"leases": [{"id": held, "state": "ACTIVE"}]})
+        await self.play(
+            f"c2 send POST tasks | {task('unsafe', 'b2', left=400)}\np1 send PATCH $session "
+            f"X-Server-Timeout=9 | {p1}\n"
+            "p1 expect 200 leases.0.state=ACTIVE\nc2 expect 200 answer=refused"
+        )
+        assert 0xB2 not in self.gateway._ledger._spent  # it never left
+        await self.play(f"""
+            c2 send POST tasks | {task("unsafe", "b3")}
+            c2 expect 503 error.details.0.fieldViolations.0.field=store
+            p1 send PATCH $session | {lease("COMPLETED")}
+            p1 expect 200
+            c2 send GET {name}
+            c2 expect 200 state=DONE
+        """)
+        log.append = lambda payloads: whole(log, payloads)
+        await self.until(lambda: not self.gateway.book.full, "there is room again")
+        await self.again()
+        await self.play(f"c3 send GET {name}\nc3 expect 200 state=DONE")
+
+
+class Folds(Scenario):
+    async def asyncSetUp(self):
+        pass
+
+    async def asyncTearDown(self):
+        pass
+
+    async def test_a_snapshot_folds_to_the_same(self):
+        state = durable.Durable()
+        for record in (
+            ("epoch", 3, "ab", 0),
+            ("asked", "tasks/1", {"class": "safe"}, "b", {"at": 1}),
+            ("asked", "tasks/2", {}, "", {}),
+            ("handed", "l1", "tasks/1", "b1", [1, 2, "h", "r"], 0),
+            ("running", "l1"),
+            ("answer", "tasks/1", {"answer": "placed"}),
+            ("spent", [1, 2]),
+            ("answer", "tasks/2", {"answer": "failed"}),
+            ("handed", "l2", "tasks/2", "b1", [], 0),
+            ("over", "l2"),
+            ("probe",),
+            ("end", "tasks/1", "DONE", 16, {"x": 1}),
+        ):
+            state.take(durable.encode(*record))
+        again = durable.fold(state.records())
+        self.assertEqual(
+            (state.operations.keys(), state.leases.keys(), state.spent),
+            (again.operations.keys(), again.leases.keys(), again.spent),
+        )
+        for name, one in state.operations.items():
+            self.assertEqual(
+                (one.state, one.answer, one.over, one.result, one.lease if one.lease == "l1" else ""),
+                (
+                    again.operations[name].state,
+                    again.operations[name].answer,
+                    again.operations[name].over,
+                    again.operations[name].result,
+                    again.operations[name].lease,
+                ),
+            )
+        for bad in (b"{", b"[]", b'["what"]', b'["asked"]', b"7"):
+            with self.assertRaises(ValueError):
+                state.take(bad)
+
+    async def test_epochs_are_told_from_names(self):
+        self.assertEqual((7, "3fa0"), durable.epoch_of("leases/7.3fa0-12"))
+        self.assertIsNone(durable.epoch_of("leases/18c2-12"))
+        self.assertEqual("", durable.from_later(["leases/7.aa-1", "x", "leases/8.bb-1"], 8, "bb"))
+        self.assertEqual("leases/8.cc-1", durable.from_later(["leases/8.cc-1"], 8, "bb"))
+        self.assertEqual("leases/9.bb-1", durable.from_later(["leases/9.bb-1"], 8, "bb"))
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -316,6 +316,9 @@
     control: tuple[str, int] | None
     ledger: str
     states: str
+    store: str
+    queue: int
+    idle: float
     connections: int
     sockets: int
     remember: int
@@ -324,7 +327,8 @@
 
 
 PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "control": "", "ledger": "",
-                 "states": "", "connections": 256, "sockets": 1024, "remember": 100_000}
+                 "states": "", "store": "", "queue": 5000, "idle": 60.0, "connections": 256,
+                 "sockets": 1024, "remember": 100_000}
 TIMING_DEFAULTS = {"lease": 3.0, "grace": 0.5, "session": 15.0, "pickup": 1.0, "poll": 1.0, "settle": 3.5}
 
 
@@ -346,14 +350,11 @@
     spans = {}
     for key, default in TIMING_DEFAULTS.items():
         value = timing.get(key, default)
-        least = 0 if key == "settle" else 0.001
-        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= 3600:
-            raise ConfigError(f"timing.{key} has the unusable value {value!r}: {least} to 3600 seconds")
-        spans[key] = float(value)
+        spans[key] = _span(f"timing.{key}", value, 0 if key == "settle" else 0.001)
     if spans["poll"] > spans["lease"] / 2:
         raise ConfigError("timing.poll has an unusable value: at most half of timing.lease")
     counts = {}
-    for key in ("connections", "sockets", "remember"):
+    for key in ("connections", "sockets", "remember", "queue"):
         value = tree.get(key, PULL_DEFAULTS[key])
         if isinstance(value, bool) or not isinstance(value, int) or not 8 <= value <= 10_000_000:
             raise ConfigError(f"{key} has the unusable value {value!r}: a whole number of at least 8")
@@ -365,11 +366,20 @@
         control=endpoint("control", control) if control else None,
         ledger=_key(tree, "ledger", str, PULL_DEFAULTS["ledger"]),
         states=_key(tree, "states", str, PULL_DEFAULTS["states"]),
+        store=_key(tree, "store", str, PULL_DEFAULTS["store"]),
+        idle=_span("idle", tree.get("idle", PULL_DEFAULTS["idle"]), 1.0),
         enabled=_key(tree, "enabled", bool, PULL_DEFAULTS["enabled"]),
         listen=endpoint("listen", _key(tree, "listen", str, PULL_DEFAULTS["listen"])),
         **counts, timing=Timing(**spans), settings=settings_of_json(_key(tree, "settings", dict)))
 
 
+def _span(key: str, value: object, least: float) -> float:
+    """A span of seconds."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= 3600:
+        raise ConfigError(f"{key} has the unusable value {value!r}: {least} to 3600 seconds")
+    return float(value)
+
+
 def pull_queue_tree(path: str) -> dict:
     """The file as a tree: TOML, or JSON where a restart left it so."""
     return json_file(path) if path.endswith(".json") else toml_file(path)
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -28,26 +28,31 @@
     def arrive(self, task: Task, owner: Owner) -> Life:
         return Life(self, task, owner, None)
 
-    def adopt(self, task: Task, machine: int, owner: Owner) -> Life:
-        """A task that runs on a machine already comes into this dispatcher's care."""
-        return Life(self, task, owner, machine)
+    def adopt(self, task: Task, machine: int, owner: Owner, answered: bool = True) -> Life:
+        """A task that runs on a machine already, or may, comes into this dispatcher's care.
+
+        Not `answered`: its owner still waits for the one answer, which the machine's word brings, or the
+        deadline does.
+        """
+        return Life(self, task, owner, machine, answered)
 
 
 class Life:
     """Exactly one final answer, one end an attempt, and never two attempts out: all three hold by the
     shape of `_run`, which is the only place that answers, offers and ends."""
 
-    def __init__(self, core: Core, task: Task, owner: Owner, machine: int | None) -> None:
+    def __init__(self, core: Core, task: Task, owner: Owner, machine: int | None,
+                 answered: bool = True) -> None:
         self._core, self._driver, self._site = core, core.driver, core.site
         self.task, self._owner = task, owner
         self._words: deque[object] = deque()
         self._wake: asyncio.Future | None = None
         self._attempts = 0
-        self._answered = machine is not None
+        self._answered = machine is not None and answered
         self._loop = asyncio.get_running_loop()
         self.id = self._driver.register(self.tell)
         core.lives.add(self)
-        core.unanswered += machine is None
+        core.unanswered += not self._answered
         self._running = self._loop.create_task(self._run(machine))
 
     def tell(self, word: object) -> None:
@@ -92,7 +97,7 @@
             return None
         self._driver.post(i.RequestArrived(
             self.id, task.class_index, task.deadline_us, task.service, task.cores, task.memory,
-            task.key, task.tenant, None, task.again))
+            task.key, task.tenant, None, task.again, task.only))
         left = max(0, task.deadline_us - unix_us()) + OVERDUE_US
         overdue = self._loop.call_later(left / 1e6, self.tell, Overdue())
         try:
@@ -205,8 +210,21 @@
     async def _stand(self, machine: int, number: int, sent: int) -> None:
         """Until the machine tells of the end, which goes to the owner unless the owner brought it about."""
         owner_knows = False
+        overdue = None
+        if not self._answered:
+            left = max(0, self.task.deadline_us - unix_us())
+            overdue = self._loop.call_later(left / 1e6, self.tell, Overdue())
         while True:
             match await self._next():
+                case Answered(attempt, description) if attempt == number and not self._answered:
+                    self._answer(overdue)
+                    self._owner.placed(description)
+                case Overdue() if not self._answered:
+                    # It may run, and nobody waits for it any more: it is called off, and its end awaited.
+                    self._answer(overdue)
+                    self._owner.failed()
+                    owner_knows = True
+                    self._site.release(machine, self.task, CALLED_OFF)
                 case Noted(attempt, topic, value) if attempt == number:
                     self._driver.post(i.Note(self.id, number, machine, topic, value))
                 case Released(cause) if not owner_knows:
@@ -218,6 +236,17 @@
                     self._site.move(machine, self.task)
                 case Ended(attempt, outcome, reason, report, cause) if attempt == number:
                     self._ended(machine, number, sent, outcome, reason, report, closed=True)
-                    if not owner_knows and cause != CALLED_OFF:
+                    if not self._answered:
+                        self._answer(overdue)
+                        never_ran = outcome in (i.Outcome.FULL, i.Outcome.NOT_SENT, i.Outcome.CONNECT_FAILED)
+                        self._owner.refused(0) if never_ran else self._owner.failed()
+                    elif not owner_knows and cause != CALLED_OFF:
                         self._owner.released(cause or GIVEN_UP)
                     return
+
+    def _answer(self, overdue: asyncio.TimerHandle | None) -> None:
+        """The one answer of a request that was adopted without it."""
+        self._answered = True
+        self._core.unanswered -= 1
+        if overdue is not None:
+            overdue.cancel()
--- a/weldhatch/core/ports.py
+++ b/weldhatch/core/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -28,6 +28,7 @@
     tenant: int = 0
     again: bool = False
     passed_on: object = None
+    only: Container[int] | None = None  # the machines that it may go to; None for all
 
 
 # ---- words to a request's coroutine -----------------------------------------------------------------------
--- a/weldhatch/interface.py
+++ b/weldhatch/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
@@ -209,6 +210,7 @@
     tenant: int = 0
     run_us: int | None = None
     again: bool = False
+    only: Container[int] | None = None  # the machines that it may go to; None for all
 
 
 @dataclass(slots=True, frozen=True)
--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 import traceback
@@ -113,6 +114,25 @@
                 await asyncio.wait([task], timeout=max(0.0, end - time.monotonic()))
         self.close()
 
+    async def linger(self, within: float) -> None:
+        """Let all that was sent leave, then read and throw away for a while before the close.
+
+        Guards against a reset that would take the last answer from a peer that is still sending.
+        """
+        end = time.monotonic() + within
+        while len(self._out) and not self.closed and time.monotonic() < end:
+            self._start()
+            if self._flushing is not None:
+                await asyncio.wait([self._flushing], timeout=max(0.0, end - time.monotonic()))
+        with contextlib.suppress(StreamClosedError, OSError, TimeoutError):
+            if not self.closed:
+                self._stream.socket.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(max(0.0, end - time.monotonic())):
+                waste = bytearray(4096)
+                while not self.closed:
+                    await self._stream.read_into(waste, partial=True)
+        self.close()
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -170,6 +170,7 @@
         if (r.answered or r.open is not None or len(r.sent) >= s.max_attempts
                 or now >= r.deadline - self._early
                 or entry.state != MachineState.READY or (cls.kind >= 0 and entry.kind != cls.kind)
+                or (r.only is not None and entry.id not in r.only)
                 or (r.maybe is not None and not self._may_repeat(r, entry))):
             return False
         if entry.born_us and now < entry.born_us + s.cold_us and not self._cold_turn(n):
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import hashlib
+import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
 
@@ -17,16 +18,29 @@
 from weldhatch.config import Timing
 from weldhatch.core import ports
 from weldhatch.core.ports import LetGo
-from weldhatch.pullqueue.http import HttpError, Request
+from weldhatch.pullqueue import durable
+from weldhatch.pullqueue.book import Book, NoBook
+from weldhatch.pullqueue.deadlines import Deadlines
+from weldhatch.pullqueue.faults import HttpError
+from weldhatch.pullqueue.http import Request
 from weldhatch.pullqueue.leases import Lease, Ledger, Phase
 from weldhatch.pullqueue.operators import Operators
+from weldhatch.pullqueue.workers import NOTHING, Worker, read_worker
 from weldhatch.setups import Setup
+from weldhatch.store.log import LogError
 
 REPLY_MOST = 48 * 1024  # what one answer hands out at the most; the rest waits for the next
-SWEEP_S = 0.1
-STATUSES = {"OK": i.MachineState.READY, "INITIALIZING": i.MachineState.DRAINING,
-            "UNHEALTHY": i.MachineState.DRAINING, "HOST_REBOOTING": i.MachineState.DRAINING,
-            "BOT_TERMINATING": i.MachineState.DRAINING}
+SWEEP_S = 0.05
+LEASES_MOST = 1000  # listed in one update
+RESULT_MOST = 8 * 1024  # of what a machine says its task has come to
+STATUSES = {
+    "OK": i.MachineState.READY,
+    "INITIALIZING": i.MachineState.DRAINING,
+    "UNHEALTHY": i.MachineState.DRAINING,
+    "HOST_REBOOTING": i.MachineState.DRAINING,
+    "BOT_TERMINATING": i.MachineState.DRAINING,
+    "MAINTENANCE": i.MachineState.DRAINING,
+}
 STATES = ("PENDING", "ACTIVE", "COMPLETED", "CANCELLED")
 # What a puller that declines a lease before it runs says of it, by google.rpc.Code: proof that nothing ran.
 DECLINED = {8: i.Reason.NOT_TOLD, 9: i.Reason.NOT_HERE}
@@ -40,6 +54,18 @@
     id: str
     state: str
     code: int
+    message: str = ""
+    result: object = None
+
+
+@dataclass(slots=True)
+class Passed:
+    """What a submission passes on to its leases: the set-up, its description, and who hears of results."""
+
+    setup: Setup
+    blob: str
+    told: Callable[[object, str], None] = lambda result, message: None
+    records: Callable[[], tuple[bytes, ...]] = tuple  # what has to be on the disk before its first lease
 
 
 @dataclass(slots=True, eq=False)
@@ -56,26 +82,73 @@
     expires: float = 0.0
     heard: float = 0.0
     state: i.MachineState = i.MachineState.GONE
+    status: str = "OK"
+    worker: Worker = NOTHING
     leases: dict[str, Lease] = field(default_factory=dict)
+    # those of them that are offered, and not handed out
+    waiting: dict[str, Lease] = field(default_factory=dict)
+    stopping: dict[str, Lease] = field(default_factory=dict)  # those that the puller has to stop
+    by_task: dict[int, Lease] = field(default_factory=dict)  # by the identity of their task
+    asked: tuple[float, float] = (0.0, 0.0)  # cores and memory of all leases
     news: asyncio.Event = field(default_factory=asyncio.Event)
     poll: int = 0  # the number of the last update; an older one that still waits is void
+    owner: str = ""  # the name in the token that opened the session, where tokens are asked for
+
+    def add(self, lease: Lease) -> None:
+        self.leases[lease.id] = self.by_task[id(lease.task)] = lease
+        self.asked = (self.asked[0] + lease.task.cores, self.asked[1] + lease.task.memory)
+        if lease.phase is Phase.WAITING:
+            self.waiting[lease.id] = lease
+
+    def remove(self, lease: Lease) -> None:
+        if self.leases.pop(lease.id, None) is not None:
+            self.by_task.pop(id(lease.task), None)
+            self.waiting.pop(lease.id, None)
+            self.stopping.pop(lease.id, None)
+            less = (self.asked[0] - lease.task.cores, self.asked[1] - lease.task.memory)
+            self.asked = less if self.leases else (0.0, 0.0)
+
+
+class _Deaf:
+    """Hears for a lease until its life is there."""
+
+    def tell(self, word: object) -> None:
+        pass
+
+
+def machine_of(bot_id: str) -> int:
+    """The module's number of a build machine: the same after each restart."""
+    return int.from_bytes(hashlib.blake2b(bot_id.encode(), digest_size=6).digest(), "big")
 
 
 class Bots:
     """All build machines of this gateway."""
 
-    def __init__(self, settings: i.Settings, timing: Timing, ledger: Ledger, operators: Operators,
-                 changed: Callable[[i.MachinesChanged], None], log: Callable[[str], None]) -> None:
-        self._settings, self.timing, self._ledger = settings, timing, ledger
+    def __init__(
+        self,
+        settings: i.Settings,
+        timing: Timing,
+        ledger: Ledger,
+        operators: Operators,
+        book: Book | NoBook,
+        changed: Callable[[i.MachinesChanged], None],
+        log: Callable[[str], None],
+    ) -> None:
+        self._settings, self.timing, self._ledger, self._book = settings, timing, ledger, book
         self._changed, self._log, self._operators = changed, log, operators
         self._halls = {name: n for n, name in enumerate(settings.zones)}
         self._racks: dict[str, int] = {}
+        self._rack_names: list[str] = []
         self._bots: dict[str, Bot] = {}
         self._machines: dict[int, Bot] = {}
         self._sessions: dict[str, Bot] = {}
         self._serial = 0
+        self.workers: dict[int, Worker] = {}  # by machine, for requirements
+        self._leases: dict[str, Lease] = {}
+        self._due = Deadlines()
         # A gateway that starts anew makes names that no former one gave.
-        self._epoch = f"{time.time_ns():x}"
+        self._epoch = book.epoch
+        self.stale = ""  # why nothing may be given out: the store is older than what machines have seen
         self._sweeper = asyncio.get_running_loop().create_task(self._sweep())
 
     def close(self) -> None:
@@ -89,13 +162,17 @@
         bot_id = tree.get("botId")
         if not isinstance(bot_id, str) or not 0 < len(bot_id) <= 200:
             raise HttpError(400, "botId: a text of 1 to 200 characters is needed", "botId")
-        cores, memory, hall, rack = self._worker(tree)
+        worker = read_worker(tree.get("worker"), "worker")
+        cores, memory, hall, rack = self._place(worker)
         state, listed = self._status(tree), self._listed(tree)
+        self._check_epochs(one.id for one in listed)
         bot = self._bots.get(bot_id)
         if bot is None:
-            machine = int.from_bytes(hashlib.blake2b(bot_id.encode(), digest_size=6).digest(), "big")
+            machine = machine_of(bot_id)
             bot = self._bots[bot_id] = self._machines[machine] = Bot(bot_id, machine, 0.0, 0.0, 0, 0)
         bot.cores, bot.memory, bot.hall, bot.rack = cores, memory, hall, rack
+        bot.worker = self.workers[bot.machine] = worker
+        bot.owner = request.who.name if request.who is not None else ""
         self._sessions.pop(bot.session, None)
         bot.session = self._name("botSessions")
         self._sessions[bot.session] = bot
@@ -106,21 +183,64 @@
     async def update(self, name: str, request: Request) -> dict:
         bot = self._sessions.get(name)
         if bot is None:
+            self._check_epochs([name])
             raise HttpError(404, "name: no such session, or it is stale: open a new one", "name")
+        if request.who is not None and bot.owner != request.who.name:
+            raise HttpError(403, "name: the session of another machine", "name")
         tree = request.json()
+        if mask := request.query.get("updateMask"):
+            tree = self._masked(tree, mask)
         if tree.get("name", name) != name:
             raise HttpError(400, "name: not the session that is updated", "name")
         if tree.get("botId", bot.id) != bot.id:
             raise HttpError(400, "botId: not the one that opened the session", "botId")
         if tree.get("worker"):
-            self._worker(tree)
+            self._grown(bot, read_worker(tree["worker"], "worker"))
         return await self._update(bot, self._status(tree), self._listed(tree), request)
 
+    @staticmethod
+    def _masked(tree: dict, mask: str) -> dict:
+        """Only the fields that the mask names count; what it names and the body lacks is empty."""
+        out = {key: tree[key] for key in ("name", "botId") if key in tree}
+        for path in mask.split(","):
+            name = path.strip()
+            if name not in ("status", "leases", "worker", "bot_id", "botId", "name"):
+                raise HttpError(
+                    400, f"updateMask: {name[:40]!r} is no field that can be updated", "updateMask"
+                )
+            if name in tree:
+                out[name] = tree[name]
+        return out
+
+    def _grown(self, bot: Bot, worker: Worker) -> None:
+        """A machine may say anew what it is; its size and place are those of its session."""
+        if self._place(worker) != (bot.cores, bot.memory, bot.hall, bot.rack):
+            raise HttpError(
+                400, "worker: cores, memory, hall and rack change with a new session only", "worker"
+            )
+        bot.worker = self.workers[bot.machine] = worker
+
+    def _check_epochs(self, names: Iterable[str]) -> None:
+        """Guards against an older copy of the store: machines may run what it knows nothing of."""
+        if (
+            self._book.state.epoch
+            and not self.stale
+            and (name := durable.from_later(names, self._book.state.epoch, self._book.state.token))
+        ):
+            self.stale = (
+                f"{name} is of a later gateway than this store knows of: it is an older copy, and "
+                "nothing is given out from it"
+            )
+            self._log(f"store: {self.stale}")
+        if self.stale:
+            raise HttpError(503, f"store: {self.stale}", "store", 30.0)
+
     async def _update(self, bot: Bot, state: i.MachineState, listed: list[Listed], request: Request) -> dict:
         """Take the report, wait for something to say, and say it."""
         wait = request.seconds("x-server-timeout", self.timing.poll)
         bot.heard, bot.poll = time.time(), bot.poll + 1
         bot.expires = bot.heard + self.timing.session
+        self._due.set(("session", bot.id), bot.expires)
         session, poll = bot.session, bot.poll
         bot.news.set()  # an older update of this session that still waits is answered, and gets nothing
         bot.news = asyncio.Event()
@@ -144,41 +264,108 @@
             # Guards against handing a lease to a poll that its machine has given up.
             raise HttpError(409, "name: a later update of this machine has come", "name")
         leases = [{"id": id, "state": "CANCELLED"} for id in to_end]
-        leases += [self._shown(lease) for lease in bot.leases.values()
-                   if lease.id in known and lease.phase in (Phase.PENDING, Phase.ACTIVE, Phase.CANCELLED)]
-        if not to_end and self._stands(bot) is i.MachineState.READY and not request.closed():
-            leases += self._hand_out(bot)
-        return {"name": bot.session, "botId": bot.id, "status": "OK", "leases": leases,
-                "expireTime": _rfc3339(bot.expires)}
+        leases += [
+            self._shown(lease)
+            for lease in bot.leases.values()
+            if lease.id in known and lease.phase in (Phase.PENDING, Phase.ACTIVE, Phase.CANCELLED)
+        ]
+        if (
+            not to_end
+            and not self.stale
+            and self._stands(bot) is i.MachineState.READY
+            and not request.closed()
+        ):
+            leases += await self._hand_out(bot, session, poll, request)
+        return {
+            "name": bot.session,
+            "botId": bot.id,
+            "status": "OK",
+            "leases": leases,
+            "expireTime": _rfc3339(bot.expires),
+        }
 
     def _has_news(self, bot: Bot, known: set[str]) -> bool:
         """A lease to hand out, or one to stop that the puller holds."""
-        return any(lease.phase is Phase.WAITING or (lease.phase is Phase.CANCELLED and lease.id in known)
-                   for lease in bot.leases.values())
-
-    def _hand_out(self, bot: Bot) -> list[dict]:
-        """The leases that wait for this machine leave the gateway here, and only here."""
-        out, size = [], 0
-        for lease in bot.leases.values():
-            if lease.phase is not Phase.WAITING:
-                continue
-            size += 512 + 2 * len(lease.task.passed_on[1])
+        return bool(bot.waiting) or not known.isdisjoint(bot.stopping)
+
+    async def _hand_out(self, bot: Bot, session: str, poll: int, request: Request) -> list[dict]:
+        """The leases that wait for this machine leave the gateway here, and only here.
+
+        What may not start twice is on the disk before it is on the wire; where the disk does not take it, or
+        the machine has gone on meanwhile, it has not left.
+        """
+        out, size, records, spent = [], 0, [], set()
+        for lease in list(bot.waiting.values()):
+            passed: Passed = lease.task.passed_on
+            size += 512 + 2 * len(passed.blob)
             if out and size > REPLY_MOST:
                 break
-            lease.phase, lease.expires = Phase.PENDING, time.time() + self.timing.lease
-            self._ledger.handed(lease, self._settings.classes[lease.task.class_index])
-            out.append({**self._shown(lease), "payload": self._payload(lease)})
-        return out
+            del bot.waiting[lease.id]
+            lease.phase = Phase.PENDING
+            self._extend(lease)
+            if self._ledger.handed(lease, self._settings.classes[lease.task.class_index]):
+                spent.add(lease.id)
+                records.append(durable.encode("spent", [lease.task.key]))
+            records += passed.records()
+            records.append(
+                durable.encode(
+                    "handed",
+                    lease.id,
+                    lease.task.label,
+                    bot.id,
+                    [bot.cores, bot.memory, self._settings.zones[bot.hall], self._rack_names[bot.rack]],
+                    lease.attempt,
+                )
+            )
+            out.append(lease)
+        if not out:
+            return []
+        try:
+            await self._book.may(*records)
+        except LogError:
+            for lease in out:
+                if lease.phase is not Phase.OVER:
+                    self._ledger.taken_back(lease, lease.id in spent)
+                    self._end(lease, i.Outcome.NOT_SENT)
+            return []
+        if bot.session != session or bot.poll != poll or request.closed():
+            # Guards against a lease that is lost with an update that its machine has given up.
+            for lease in out:
+                if lease.phase is Phase.PENDING:
+                    lease.phase = Phase.WAITING
+                    lease.expires = time.time() + self.timing.pickup
+                    self._due.set(("lease", lease.id), lease.expires)
+                    bot.waiting[lease.id] = lease
+            bot.news.set()
+            raise HttpError(409, "name: a later update of this machine has come", "name")
+        for lease in out:
+            lease.left = True
+        return [
+            {**self._shown(lease), "payload": self._payload(lease)}
+            for lease in out
+            if lease.phase in (Phase.PENDING, Phase.CANCELLED)
+        ]
+
+    def _extend(self, lease: Lease) -> None:
+        """It may run for a lease's time from now, and counts as out for the grace after that."""
+        lease.expires = time.time() + self.timing.lease
+        self._due.set(("lease", lease.id), lease.expires + self.timing.grace)
 
     def _shown(self, lease: Lease) -> dict:
         return {"id": lease.id, "state": lease.phase.value, "expireTime": _rfc3339(lease.expires)}
 
     def _payload(self, lease: Lease) -> dict:
-        setup: Setup
-        setup, blob = lease.task.passed_on
-        return {"@type": "type.googleapis.com/weldhatch.Task", "class": setup.class_name, "key": setup.name,
-                "idem": setup.idem, "cores": setup.cores, "memory": setup.memory,
-                "service": f"{setup.service:016x}", "blob": blob}
+        setup, blob = lease.task.passed_on.setup, lease.task.passed_on.blob
+        return {
+            "@type": "type.googleapis.com/weldhatch.Task",
+            "class": setup.class_name,
+            "key": setup.name,
+            "idem": setup.idem,
+            "cores": setup.cores,
+            "memory": setup.memory,
+            "service": f"{setup.service:016x}",
+            "blob": blob,
+        }
 
     # ---- what a puller reports -----------------------------------------------------------------------------
 
@@ -197,21 +384,25 @@
                 # Guards against a renewal that comes too late: the puller had to stop, and the task may
                 # be on its way elsewhere as soon as the grace is over.
                 lease.phase = Phase.CANCELLED
+                bot.stopping[lease.id] = lease
             elif one.state == "ACTIVE":
-                lease.expires = now + self.timing.lease
+                self._extend(lease)
                 if lease.phase is Phase.PENDING:
                     lease.phase = Phase.ACTIVE
+                    self._book.must(durable.encode("running", lease.id))
                     lease.teller.tell(ports.Answered(lease.attempt, bot.id))
         return to_end
 
     def _done(self, lease: Lease, one: Listed) -> None:
         """The puller holds it no longer."""
+        lease.task.passed_on.told(one.result, one.message)
         if lease.phase is Phase.CANCELLED:
             self._end(lease, i.Outcome.CANCELLED, cause=ports.CALLED_OFF)
         elif lease.phase is Phase.ACTIVE:
             well = one.state == "COMPLETED" and one.code == RAN_WELL
-            self._end(lease, i.Outcome.OK if well else i.Outcome.RESET,
-                      cause=ports.GIVEN_UP if well else ports.CUT)
+            self._end(
+                lease, i.Outcome.OK if well else i.Outcome.RESET, cause=ports.GIVEN_UP if well else ports.CUT
+            )
         elif one.state == "COMPLETED" and one.code == RAN_WELL:  # a short task: begun and ended in one report
             lease.teller.tell(ports.Answered(lease.attempt, self._machines[lease.machine].id))
             self._end(lease, i.Outcome.OK, cause=ports.GIVEN_UP)
@@ -223,34 +414,73 @@
     def _end(self, lease: Lease, outcome: i.Outcome, reason: int = 0, cause: int = ports.CUT) -> None:
         """The one end of an attempt."""
         lease.phase = Phase.OVER
-        self._machines[lease.machine].leases.pop(lease.id, None)
+        self._machines[lease.machine].remove(lease)
+        self._leases.pop(lease.id, None)
+        self._due.drop(("lease", lease.id))
         self._ledger.over(lease)
+        self._book.must(durable.encode("over", lease.id))
         lease.teller.tell(ports.Ended(lease.attempt, outcome, reason, (), cause))
 
     async def _sweep(self) -> None:
-        """Sessions and leases that have run out, and offers that nobody picked up."""
+        """Sessions and leases that have run out, and offers that nobody picked up: only those that are
+        due."""
         while True:
             await asyncio.sleep(SWEEP_S)
             now = time.time()
-            for bot in list(self._bots.values()):
-                for lease in list(bot.leases.values()):
-                    if lease.phase is Phase.WAITING:
-                        if now >= lease.expires:
-                            self._end(lease, i.Outcome.CONNECT_FAILED)
-                    elif now >= lease.expires + self.timing.grace:
-                        self._log(f"bot {bot.id}: lease {lease.id} has run out, {lease.phase.value}")
-                        self._end(lease, i.Outcome.RESET)
-                if bot.session and now >= bot.expires:
-                    self._log(f"bot {bot.id}: session {bot.session} has run out")
-                    self._sessions.pop(bot.session, None)
-                    bot.session, bot.state = "", i.MachineState.GONE
-                    self._tell(bot)
-                if not bot.session and not bot.leases:
-                    del self._bots[bot.id], self._machines[bot.machine]
+            for kind, name in list(self._due.due(now)):
+                if kind == "lease" and name in self._leases:
+                    self._lease_due(self._leases[name], now)
+                elif kind == "session" and name in self._bots:
+                    self._session_due(self._bots[name], now)
+
+    def _lease_due(self, lease: Lease, now: float) -> None:
+        bot = self._machines[lease.machine]
+        if lease.phase is Phase.WAITING:
+            if now >= lease.expires:
+                self._end(lease, i.Outcome.CONNECT_FAILED)
+            else:
+                self._due.set(("lease", lease.id), lease.expires)
+        elif now >= lease.expires + self.timing.grace:
+            self._log(f"bot {bot.id}: lease {lease.id} has run out, {lease.phase.value}")
+            self._end(lease, i.Outcome.RESET)
+        else:
+            self._due.set(("lease", lease.id), lease.expires + self.timing.grace)
+        self._forget(bot)
+
+    def _session_due(self, bot: Bot, now: float) -> None:
+        if bot.session and now >= bot.expires:
+            self._log(f"bot {bot.id}: session {bot.session} has run out")
+            self._sessions.pop(bot.session, None)
+            bot.session, bot.state = "", i.MachineState.GONE
+            self._tell(bot)
+        elif bot.session:
+            self._due.set(("session", bot.id), bot.expires)
+        self._forget(bot)
+
+    def _forget(self, bot: Bot) -> None:
+        """A machine without a session and without leases is nobody's."""
+        if not bot.session and not bot.leases:
+            self._bots.pop(bot.id, None)
+            self._machines.pop(bot.machine, None)
+            self.workers.pop(bot.machine, None)
 
     def _tell(self, bot: Bot) -> None:
-        self._changed(i.MachinesChanged(i.ListForm.DELTA, (i.Machine(
-            bot.machine, bot.hall, 0, bot.rack, self._stands(bot), cores=bot.cores, memory=bot.memory),)))
+        self._changed(
+            i.MachinesChanged(
+                i.ListForm.DELTA,
+                (
+                    i.Machine(
+                        bot.machine,
+                        bot.hall,
+                        0,
+                        bot.rack,
+                        self._stands(bot),
+                        cores=bot.cores,
+                        memory=bot.memory,
+                    ),
+                ),
+            )
+        )
 
     def _stands(self, bot: Bot) -> i.MachineState:
         """A machine's own word and the operator's together; it gets new work only where both say ready."""
@@ -264,13 +494,14 @@
             return
         self._tell(bot)
         if self._stands(bot) is not i.MachineState.READY:
-            for lease in [lease for lease in bot.leases.values() if lease.phase is Phase.WAITING]:
+            for lease in list(bot.waiting.values()):
                 self._end(lease, i.Outcome.NOT_SENT)
 
     def machines(self) -> dict[str, dict]:
         """Each machine that is known, for the control address."""
-        return {bot.id: {"own": bot.state.name.lower(), "leases": len(bot.leases)}
-                for bot in self._bots.values()}
+        return {
+            bot.id: {"own": bot.state.name.lower(), "leases": len(bot.leases)} for bot in self._bots.values()
+        }
 
     # ---- what the core asks for ----------------------------------------------------------------------------
 
@@ -280,13 +511,45 @@
             teller.tell(ports.Ended(attempt, i.Outcome.NOT_SENT))
             return
         lease = Lease(self._name("leases"), machine, task, attempt, teller)
+        self._leases[lease.id] = lease
         lease.expires = time.time() + min(self.timing.pickup, wait_us / 1e6)
-        bot.leases[lease.id] = lease
+        self._due.set(("lease", lease.id), lease.expires)
+        bot.add(lease)
         bot.news.set()
 
     def adopt(self, machine: int, task: ports.Task, teller: ports.Teller) -> None:
-        """No submitter names a machine: a lease is recognised by its puller alone."""
-        teller.tell(ports.Ended(0, i.Outcome.RESET))
+        """A lease that a former gateway handed out, and the store kept: this life hears of it from now on."""
+        lease = self._lease(machine, task)
+        if lease is None:  # no submitter names a machine
+            teller.tell(ports.Ended(0, i.Outcome.RESET))
+        else:
+            lease.teller = teller
+
+    def restore(self, record: durable.LeaseRecord, task: ports.Task) -> int:
+        """A lease that was out when the gateway ended counts as out anew; the machine that it is out at."""
+        bot = self._bots.get(record.bot)
+        if bot is None:
+            cores, memory, hall, rack = record.place
+            bot = Bot(
+                record.bot, machine_of(record.bot), cores, memory, self._halls.get(hall, 0), self._rack(rack)
+            )
+            self._bots[bot.id] = self._machines[bot.machine] = bot
+        lease = Lease(
+            record.id,
+            bot.machine,
+            task,
+            0,
+            _Deaf(),
+            Phase.ACTIVE if record.running else Phase.PENDING,
+            left=True,
+        )
+        self._leases[lease.id] = lease
+        bot.add(lease)
+        self._extend(lease)
+        return bot.machine
+
+    def leases_out(self) -> list[Lease]:
+        return [lease for lease in self._leases.values() if lease.phase is not Phase.WAITING]
 
     def give_up(self, machine: int, task: ports.Task) -> LetGo:
         lease = self._lease(machine, task)
@@ -294,7 +557,9 @@
             return LetGo.GIVEN_UP
         if lease.phase is Phase.WAITING:
             lease.phase = Phase.OVER
-            self._machines[machine].leases.pop(lease.id, None)
+            self._machines[machine].remove(lease)
+            self._leases.pop(lease.id, None)
+            self._due.drop(("lease", lease.id))
             return LetGo.WITHDRAWN
         self._cancel(lease)
         return LetGo.STILL_OUT
@@ -314,45 +579,49 @@
         elif time.time() - bot.heard > self.timing.poll + self.timing.pickup:
             done(i.Outcome.TIMEOUT, ())
         else:
-            free = {"x0": bot.cores - sum(lease.task.cores for lease in bot.leases.values()),
-                    "x1": bot.memory - sum(lease.task.memory for lease in bot.leases.values())}
+            free = {"x0": bot.cores - bot.asked[0], "x1": bot.memory - bot.asked[1]}
             done(i.Outcome.OK, tuple(free.get(name, 0.0) for name in self._settings.report_fields))
 
     def _lease(self, machine: int, task: ports.Task) -> Lease | None:
         bot = self._machines.get(machine)
-        return next((lease for lease in bot.leases.values() if lease.task is task), None) if bot else None
+        return bot.by_task.get(id(task)) if bot else None
 
     def _cancel(self, lease: Lease) -> None:
         """Its puller is told at its next update; until it confirms, the lease stays out."""
         lease.phase = Phase.CANCELLED
-        self._machines[lease.machine].news.set()
+        bot = self._machines[lease.machine]
+        bot.stopping[lease.id] = lease
+        bot.news.set()
 
     # ---- reading a session ---------------------------------------------------------------------------------
 
-    def _worker(self, tree: dict) -> tuple[float, float, int, int]:
+    def _place(self, worker: Worker) -> tuple[float, float, int, int]:
         """Cores, memory, hall and rack, from the worker's properties."""
-        worker = tree.get("worker")
-        properties = worker.get("properties") if isinstance(worker, dict) else None
-        if not isinstance(properties, list):
-            raise HttpError(400, "worker.properties: a list of key and value is needed", "worker.properties")
-        values = {one.get("key"): one.get("value") for one in properties if isinstance(one, dict)}
         sizes = []
         for name in ("cores", "memory"):
+            value = worker.first(name)
             try:
-                size = float(values.get(name))
+                size = float(value)
             except (TypeError, ValueError):
                 size = 0.0
             if not 0 < size < 1e9:
                 field = f"worker.properties.{name}"
-                raise HttpError(400, f"{field}: the unusable value {values.get(name)!r}", field)
+                raise HttpError(400, f"{field}: the unusable value {value!r}", field)
             sizes.append(size)
-        hall, rack = values.get("hall"), values.get("rack")
+        hall, rack = worker.first("hall"), worker.first("rack")
         if hall not in self._halls:
             field = "worker.properties.hall"
             raise HttpError(400, f"{field}: no hall is named {hall!r}", field)
-        if not isinstance(rack, str) or not 0 < len(rack) <= 100:
+        if not rack or len(rack) > 100:
             raise HttpError(400, "worker.properties.rack: a name is needed", "worker.properties.rack")
-        return *sizes, self._halls[hall], self._racks.setdefault(rack, len(self._racks))
+        return *sizes, self._halls[hall], self._rack(rack)
+
+    def _rack(self, name: str) -> int:
+        """Racks are numbered as they come; only their names outlast the gateway."""
+        if name not in self._racks:
+            self._racks[name] = len(self._rack_names)
+            self._rack_names.append(name)
+        return self._racks[name]
 
     @staticmethod
     def _status(tree: dict) -> i.MachineState:
@@ -366,19 +635,36 @@
         entries = tree.get("leases") or []
         if not isinstance(entries, list):
             raise HttpError(400, "leases: a list is needed", "leases")
+        if len(entries) > LEASES_MOST:
+            raise HttpError(400, f"leases: at most {LEASES_MOST} are taken", "leases")
         listed = []
         for n, entry in enumerate(entries):
             field = f"leases[{n}]"
             if not isinstance(entry, dict) or not isinstance(entry.get("id"), str):
                 raise HttpError(400, f"{field}.id: a text is needed", f"{field}.id")
             if entry.get("state") not in STATES:
-                raise HttpError(400, f"{field}.state: the unusable value {entry.get('state')!r}",
-                                f"{field}.state")
+                raise HttpError(
+                    400, f"{field}.state: the unusable value {entry.get('state')!r}", f"{field}.state"
+                )
             status = entry.get("status") or {}
             code = status.get("code", 0) if isinstance(status, dict) else None
             if not isinstance(code, int) or isinstance(code, bool):
                 raise HttpError(400, f"{field}.status.code: a whole number is needed", f"{field}.status.code")
-            listed.append(Listed(entry["id"], entry["state"], code))
+            message = status.get("message", "")
+            if not isinstance(message, str) or len(message) > 1000:
+                raise HttpError(
+                    400,
+                    f"{field}.status.message: a text of at most 1000 characters is needed",
+                    f"{field}.status.message",
+                )
+            result = entry.get("result")
+            if result is not None and (not isinstance(result, dict) or len(json.dumps(result)) > RESULT_MOST):
+                raise HttpError(
+                    400,
+                    f"{field}.result: an object of at most {RESULT_MOST} bytes is needed",
+                    f"{field}.result",
+                )
+            listed.append(Listed(entry["id"], entry["state"], code, message, result))
         return listed
 
     def _name(self, kind: str) -> str:
--- a/weldhatch/pullqueue/control.py
+++ b/weldhatch/pullqueue/control.py
@@ -13,7 +13,8 @@
 from weldhatch.net.connection import Connection
 from weldhatch.net.listener import Listener
 from weldhatch.pullqueue.front import PullQueue
-from weldhatch.pullqueue.http import HttpError, HttpLink, Request
+from weldhatch.pullqueue.faults import HttpError
+from weldhatch.pullqueue.http import HttpLink, Request
 from weldhatch.pullqueue.operators import WordError, read_word
 
 CONNECTIONS = 8
@@ -34,9 +35,15 @@
 class Control:
     """Holds the applied configuration. `restart` is called with a tree that only a new start can apply."""
 
-    def __init__(self, tree: dict, address: tuple[str, int], front: PullQueue,
-                 restart: Callable[[dict], None], log: Callable[[str], None],
-                 clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        tree: dict,
+        address: tuple[str, int],
+        front: PullQueue,
+        restart: Callable[[dict], None],
+        log: Callable[[str], None],
+        clock: Callable[[], float],
+    ) -> None:
         self._tree, self._front, self._restart, self._log, self._clock = tree, front, restart, log, clock
         self._share = Share(Budget(64), CONNECTIONS)
         self._links: dict[Connection, asyncio.Task] = {}
@@ -89,10 +96,14 @@
     def _machines(self) -> dict[str, dict]:
         """All machines that are known here, or that an operator has said something of."""
         known = self._front.bots.machines()
-        words = {name: {"state": word.state, "fence": word.fence, "op": word.op, "since": word.at}
-                 for name, word in self._front.operators.words.items()}
-        return {name: {"state": "ready", **known.get(name, {}), **words.get(name, {})}
-                for name in sorted(known.keys() | words.keys())}
+        words = {
+            name: {"state": word.state, "fence": word.fence, "op": word.op, "since": word.at}
+            for name, word in self._front.operators.words.items()
+        }
+        return {
+            name: {"state": "ready", **known.get(name, {}), **words.get(name, {})}
+            for name in sorted(known.keys() | words.keys())
+        }
 
     def _operate(self, machine: str, tree: dict) -> dict:
         try:
--- /dev/null
+++ b/weldhatch/pullqueue/deadlines.py
@@ -0,0 +1,45 @@
+"""Things that fall due, in order, without looking at those that do not. No clock of its own."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Hashable, Iterator
+
+
+class Deadlines:
+    """One time for each key. Moving a time costs a push; old entries are passed over when they come up."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Hashable]] = []
+        self._times: dict[Hashable, float] = {}
+        self._serial = 0
+
+    def set(self, key: Hashable, at: float) -> None:
+        """A later time for a known key costs nothing now: its old entry is put right when it comes up."""
+        before = self._times.get(key)
+        self._times[key] = at
+        if before is None or at < before:
+            self._push(key, at)
+
+    def _push(self, key: Hashable, at: float) -> None:
+        self._serial += 1
+        heapq.heappush(self._heap, (at, self._serial, key))
+
+    def drop(self, key: Hashable) -> None:
+        self._times.pop(key, None)
+
+    def due(self, now: float) -> Iterator[Hashable]:
+        """The keys whose time has come, each dropped as it is given."""
+        while self._heap and self._heap[0][0] <= now:
+            _, _, key = heapq.heappop(self._heap)
+            at = self._times.get(key)
+            if at is None:
+                continue
+            if at > now:
+                self._push(key, at)
+            else:
+                del self._times[key]
+                yield key
+
+    def __len__(self) -> int:
+        return len(self._times)
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
+from random import Random
 
 from tornado.iostream import IOStream
 
@@ -14,15 +16,20 @@
 from weldhatch.net.budget import Budget, Share
 from weldhatch.net.connection import Connection
 from weldhatch.net.listener import Listener
+from weldhatch.pullqueue.book import Book, NoBook
 from weldhatch.pullqueue.bots import Bots
-from weldhatch.pullqueue.http import HttpError, HttpLink, Request
+from weldhatch.pullqueue.faults import HttpError
+from weldhatch.pullqueue.http import Events, HttpLink, Request, encode_error
 from weldhatch.pullqueue.leases import Ledger
+from weldhatch.pullqueue.operations import Operations
 from weldhatch.pullqueue.operators import Operators, Word
 from weldhatch.pullqueue.tasks import Tasks
 from weldhatch.store.log import Log
 
 PREFIX = "/v1test2/"
 FINISH_S = 0.5
+WATCH_S = 0.5
+HALF_S = 10.0  # for the rest of a request that has begun
 
 
 class NoDirectory:
@@ -38,17 +45,26 @@
     def __init__(self, told: PullQueueFile, policy: Decider, log: Callable[[str], None]) -> None:
         self._log, self._told, settings = log, told, told.settings
         self.driver = Driver(policy, log)
-        ledger = self._ledger = Ledger(told.remember, told.ledger)
+        self.book = Book(told.store, time.time(), log) if told.store else NoBook(time.time_ns())
+        ledger = self._ledger = Ledger(told.remember, "" if told.store else told.ledger)
         ledger.open()
         self.operators = Operators()
         self._words = self._open_words(told.states)
-        self.bots = Bots(settings, told.timing, ledger, self.operators, self.driver.post, log)
+        self.bots = Bots(settings, told.timing, ledger, self.operators, self.book, self.driver.post, log)
         self.driver.site, self.driver.directory = self.bots, NoDirectory()
         self.core = Core(self.driver, self.bots, log)
-        self.tasks = Tasks(settings, self.core, self.bots, ledger, log)
+        self.tasks = Tasks(
+            settings, self.core, self.bots, ledger, self.book, told.queue, Random(told.listen[1]), log
+        )
+        self.operations = Operations(self.tasks)
+        if told.store:
+            out, anew = self.tasks.restore()
+            log(f"store: epoch {self.book.epoch}, {out} leases go on, {anew} submissions are asked for anew")
         self._share = Share(Budget(told.sockets), told.connections)
-        self._links: dict[Connection, asyncio.Task] = {}
+        self._links: dict[Connection, HttpLink] = {}
+        self._tasks: set[asyncio.Task] = set()
         self.listener = Listener(told.listen, self._share, self._taken)
+        self._watching = asyncio.get_running_loop().create_task(self._watch())
 
     def _open_words(self, path: str) -> Log | None:
         """Operators' words outlast the gateway where `states` names a file for them."""
@@ -77,26 +93,66 @@
 
     def _taken(self, stream: IOStream, host: str) -> None:
         connection = Connection(stream, self._share, f"pull queue client {host}", self._log)
-        link = HttpLink(connection, self._route, self._log)
-        task = self._links[connection] = asyncio.get_running_loop().create_task(link.run())
+        link = HttpLink(connection, self._route, self._log, host)
+        self._links[connection] = link
+        task = asyncio.get_running_loop().create_task(link.run())
         task.add_done_callback(lambda _: self._links.pop(connection, None))
-
-    async def _route(self, request: Request) -> tuple[dict, dict[str, str]]:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _watch(self) -> None:
+        """Guards descriptors against clients that connect and say nothing, or stop in the middle."""
+        while True:
+            await asyncio.sleep(WATCH_S)
+            now = time.monotonic()
+            for connection, link in list(self._links.items()):
+                if not link.idle:
+                    continue
+                if connection.owed_since and now - connection.owed_since > HALF_S:
+                    self._log(f"{connection.name}: closed: the rest of a request did not come")
+                    connection.send(
+                        encode_error(HttpError(408, "the rest of the request did not come", last=True))
+                    )
+                    await connection.finish(0.1)
+                elif now - max(connection.heard, link.answered) > self._told.idle:
+                    connection.close()
+
+    async def _route(self, request: Request) -> tuple[dict, dict[str, str]] | Events:
         path = request.path.removeprefix(PREFIX)
         if path == request.path:
             raise HttpError(404, f"path: it begins with {PREFIX}", "path")
-        match request.method, path.split("/"):
-            case "POST", ["botSessions"]:
+        head, _, rest = path.partition("/")
+        name, colon, verb = rest.partition(":")
+        match request.method, head, bool(rest), verb:
+            case "POST", "botSessions", False, _:
                 return await self.bots.create(request), {}
-            case "PATCH", ["botSessions", _]:
+            case "PATCH", "botSessions", True, _:
                 return await self.bots.update(path, request), {}
-            case "POST", ["tasks"]:
+            case "POST", "tasks", False, _:
                 return await self.tasks.submit(request)
-            case "GET", ["tasks", _]:
+            case "GET", "tasks", True, _:
                 return await self.tasks.get(path, request), {}
-            case "DELETE", ["tasks", _]:
-                return self.tasks.delete(path), {}
-            case _, ["botSessions" | "tasks"] | ["botSessions" | "tasks", _]:
+            case "DELETE", "tasks", True, _:
+                return self.tasks.delete(path, request.who), {}
+            case "POST", "operations:batchSubmit", _, _:
+                return await self.operations.batch_submit(request), {}
+            case "POST", "operations:batchCancel", _, _:
+                return self.operations.batch_cancel(request), {}
+            case "POST", "operations", False, _:
+                return await self.operations.submit(request), {}
+            case "GET", "operations", False, _:
+                return self.operations.list(request), {}
+            case "GET", "operations", True, "watch":
+                return self.operations.watch(f"operations/{name}", request)
+            case "GET", "operations", True, "" if not colon:
+                return self.operations.get(path, request), {}
+            case "POST", "operations", True, "wait":
+                return await self.operations.wait(f"operations/{name}", request), {}
+            case "POST", "operations", True, "cancel":
+                return self.operations.cancel(f"operations/{name}", request), {}
+            case "DELETE", "operations", True, "" if not colon:
+                return self.operations.delete(path, request), {}
+            case _, "botSessions" | "tasks" | "operations", _, _:
                 raise HttpError(405, f"method: {request.method} is not known here", "method")
         raise HttpError(404, "path: nothing is there", "path")
 
@@ -107,6 +163,7 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)  # the answers' own turns of the loop
         await asyncio.gather(*(connection.finish(FINISH_S) for connection in list(self._links)))
+        await self.book.flush()
         self.abort()
 
     def abort(self) -> None:
@@ -114,8 +171,11 @@
         self.listener.close()
         for connection in list(self._links):
             connection.close()
+        self._watching.cancel()
         self.bots.close()
+        self.tasks.close()
         self._ledger.close()
+        self.book.close()
         if self._words is not None:
             self._words.close()
 
@@ -127,4 +187,7 @@
             self.listener.close()
         self.listener, self._told = listener, told
         self.bots.timing, self._ledger.remember, self._share.most = (
-            told.timing, told.remember, told.connections)
+            told.timing,
+            told.remember,
+            told.connections,
+        )
--- a/weldhatch/pullqueue/leases.py
+++ b/weldhatch/pullqueue/leases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TextIO
@@ -32,6 +33,7 @@
     teller: ports.Teller
     phase: Phase = Phase.WAITING
     expires: float = 0.0  # Unix seconds
+    left: bool = False  # an answer with it was sent: until then it may be taken back
 
 
 class Refusal(Enum):
@@ -90,15 +92,32 @@
         """The request is over, and nothing stands for it."""
         self._asked.discard(key)
 
-    def handed(self, lease: Lease, cls: RequestClass) -> None:
-        if lease.task.key:
-            self._out[lease.task.key] = lease
-            if cls.effect is Effect.UNSAFE:
-                self._spent.add(lease.task.key)
-                if self._file is not None:  # on the disk before it is on the wire
-                    self._file.write(f"{lease.task.key:x}\n")
-                    self._file.flush()
-                    os.fsync(self._file.fileno())
+    def handed(self, lease: Lease, cls: RequestClass) -> bool:
+        """A lease is about to leave; whether its key is spent with it, and was not before."""
+        key = lease.task.key
+        if not key:
+            return False
+        self._out[key] = lease
+        if cls.effect is not Effect.UNSAFE or key in self._spent:
+            return False
+        self._spent.add(key)
+        if self._file is not None:  # on the disk before it is on the wire
+            self._file.write(f"{key:x}\n")
+            self._file.flush()
+            os.fsync(self._file.fileno())
+        return True
+
+    def taken_back(self, lease: Lease, spent: bool) -> None:
+        """It did not leave after all."""
+        self.over(lease)
+        if spent:
+            self._spent.discard(lease.task.key)
+
+    def restore(self, spent: Iterable[int], out: Iterable[Lease], asked: Iterable[int]) -> None:
+        """What a store kept."""
+        self._spent.update(spent)
+        self._out.update((lease.task.key, lease) for lease in out if lease.task.key)
+        self._asked.update(key for key in asked if key)
 
     def over(self, lease: Lease) -> None:
         if self._out.get(lease.task.key) is lease:
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -1,4 +1,9 @@
-"""Submitted tasks: each submitter gets the one final answer, and may follow or end the task that stands."""
+"""Submitted tasks: each submitter gets the one final answer, and may follow or end the task that stands.
+
+A submission is an operation with a name. It passes the gate, then the module decides; its answer and its end
+are
+in the book before they are told, so that whoever comes again by name or by request id hears the same.
+"""
 
 from __future__ import annotations
 
@@ -6,42 +11,66 @@
 import contextlib
 import math
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from random import Random
 
 from weldhatch import interface as i
 from weldhatch.core import ports
 from weldhatch.core.driver import unix_us
 from weldhatch.core.life import Core, Life
-from weldhatch.pullqueue.bots import Bots
-from weldhatch.pullqueue.http import HttpError, Request
+from weldhatch.pullqueue import durable
+from weldhatch.pullqueue.book import Book, NoBook
+from weldhatch.pullqueue.bots import Bots, Passed
+from weldhatch.pullqueue.faults import HttpError
+from weldhatch.pullqueue.http import Request
 from weldhatch.pullqueue.leases import Ledger, Refusal
-from weldhatch.setups import FieldError, Form
+from weldhatch.pullqueue.shares import Gate, Ticket, Verdict
+from weldhatch.pullqueue.workers import NOTHING, Matching, Worker, read_worker
+from weldhatch.setups import FieldError, Form, Setup
+from weldhatch.store.log import LogError
 
 BLOB_MOST = 8 * 1024
+REQUEST_ID_MOST = 100
 ENDED_KEPT = 1024  # tasks that are over can still be asked for
+LAG_S = 0.1  # between two looks at the loop's own delay
+RECORDED_FIELDS = ("class", "left", "tenant", "key", "idem", "extras", "retry", "requirements")
 
 
 class Submitted:
-    """One submission: the core's owner."""
+    """One submission: the core's owner, and an operation by its name."""
 
-    def __init__(self, tasks: Tasks, id: str, key: int) -> None:
-        self._tasks, self.id, self._key = tasks, id, key
+    def __init__(self, tasks: Tasks, name: str, key: int, tenant: int, meta: dict) -> None:
+        self._tasks, self.name, self.key, self.tenant, self.meta = tasks, name, key, tenant, meta
+        self.fields: dict = {}
         self.answer: asyncio.Future[dict] = asyncio.get_running_loop().create_future()
+        self.told: dict | None = None  # the answer, once there is one
         self.over = asyncio.Event()
+        self.changed = asyncio.Event()  # set anew at each change of state
         self.life: Life | None = None
+        self.ticket: Ticket | None = None
         self.state, self.cause = "ASKED", 0
+        self.result: object = None
+        self.message = ""
+        self.bot = ""
+        self.recorded = False
+
+    # ---- what the core says --------------------------------------------------------------------------------
 
     def placed(self, description: str | None) -> None:
-        self.state = "PLACED"
-        self._say({"answer": "placed", "name": self.id, "botId": description})
+        self.state, self.bot = "PLACED", description or ""
+        self._say({"answer": "placed", "name": self.name, "botId": description})
 
-    def refused(self, wait_us: int) -> None:
-        self._end("REFUSED")
-        self._say({"answer": "refused", "name": self.id, "waitMs": math.ceil(wait_us / 1000)})
+    def refused(self, wait_us: int, reason: str = "") -> None:
+        self.state = "REFUSED"
+        wait = {"waitMs": math.ceil(wait_us / 1000)}
+        self._say({"answer": "refused", "name": self.name, **wait, **({"reason": reason} if reason else {})})
+        self._end()
 
     def failed(self) -> None:
-        self._end("FAILED")
-        self._say({"answer": "failed", "name": self.id})
+        self.state = "FAILED"
+        self._say({"answer": "failed", "name": self.name})
+        self._end()
 
     def released(self, cause: int) -> None:
         self.cause = cause
@@ -53,115 +82,455 @@
     def ended_by_owner(self) -> None:
         self._end("CANCELLED")
 
+    def machine_says(self, result: object, message: str) -> None:
+        """What the machine said with the end of a lease."""
+        self.result, self.message = result, message
+
+    # ---- what follows from it ------------------------------------------------------------------------------
+
     def _say(self, answer: dict) -> None:
+        self.told = answer
+        written = self._tasks.record(self, durable.encode("answer", self.name, answer))
+        if written is None or written.done():
+            self._give(answer)
+        else:
+            written.add_done_callback(lambda _: self._give(answer))
+            # A final answer is never held back for long, also where the disk takes nothing.
+            asyncio.get_running_loop().call_later(0.05, self._give, answer)
+
+    def _give(self, answer: dict) -> None:
         if not self.answer.done():
             self.answer.set_result(answer)
+            self._news()
+
+    def _news(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
 
-    def _end(self, state: str) -> None:
-        self.state = state
+    def _end(self, state: str = "") -> None:
+        self.state = state or self.state
         self.over.set()
-        self._tasks.ended(self, self._key)
+        if state:
+            self._tasks.record(self, durable.encode("end", self.name, state, self.cause, self.result))
+        self._news()
+        self._tasks.ended(self)
+
+    def restored(self, one: durable.OperationRecord) -> None:
+        """What a former gateway told of it."""
+        self.state, self.cause, self.result, self.recorded = one.state, one.cause, one.result, True
+        if one.answer is not None:
+            self.told = one.answer
+            self.bot = one.answer.get("botId") or ""
+            self.answer.set_result(one.answer)
+        if one.over:
+            self.over.set()
+
+
+class Nobody:
+    """The owner of a lease whose submission has its final answer: it is only waited for."""
+
+    def placed(self, description: str | None) -> None: ...
+
+    def refused(self, wait_us: int) -> None: ...
+
+    def failed(self) -> None: ...
+
+    def released(self, cause: int) -> None: ...
+
+    def moved(self) -> None: ...
 
 
 class Tasks:
-    """Submissions by name. The ledger decides whether a key may be asked for; the module all the rest."""
+    """Submissions by name. The ledger decides whether a key may be asked for, the gate when, the module the
+    rest."""
 
-    def __init__(self, settings: i.Settings, core: Core, bots: Bots, ledger: Ledger,
-                 log: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        settings: i.Settings,
+        core: Core,
+        bots: Bots,
+        ledger: Ledger,
+        book: Book | NoBook,
+        queue: int,
+        random: Random,
+        log: Callable[[str], None],
+    ) -> None:
         self._settings, self._core, self._bots, self._ledger, self._log = settings, core, bots, ledger, log
+        self._book, self._random = book, random
         self._form = Form(settings)
-        self._known: dict[str, Submitted] = {}
-        self._ended: list[str] = []
+        self.known: dict[str, Submitted] = {}
+        self._by_request: dict[tuple[int, str], Submitted] = {}
+        self._ended: deque[str] = deque()
         self._serial = 0
         self._started = time.time()
-        self._epoch = f"{time.time_ns():x}"
+        self._epoch = book.epoch
+        self.gate = Gate(
+            {n: max(tenant.portion, 0.001) for n, tenant in enumerate(settings.tenants)} or {0: 1.0}, queue
+        )
+        self._entering: dict[Ticket, asyncio.Future[bool]] = {}
+        self._lagging = asyncio.get_running_loop().create_task(self._watch_lag())
+
+    def close(self) -> None:
+        self._lagging.cancel()
+
+    async def _watch_lag(self) -> None:
+        """The loop's own delay, which tells how busy this process is; and those whose time is up at the
+        gate."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(LAG_S)
+            self.gate.lag((time.monotonic() - before - LAG_S) * 1e6)
+            self._let_in()
+
+    # ---- submitting ----------------------------------------------------------------------------------------
 
     async def submit(self, request: Request) -> tuple[dict, dict[str, str]]:
-        tree = request.json()
+        """One submission; the answer is the one final answer."""
+        asked, answer = await self._submit(request.json(), request.who, waits=False)
+        if asked is None:
+            return answer, self._headers(answer)
+        try:
+            answer = await asyncio.shield(asked.answer)
+        except asyncio.CancelledError:  # the submitter has gone
+            if not asked.meta["request"]:  # and nobody can come for the answer
+                self.give_up(asked)
+            raise
+        return answer, self._headers(answer)
+
+    async def begin(self, tree: dict, who: object) -> Submitted:
+        """A submission that is answered with its operation at once; HttpError where it can't be taken."""
+        asked, answer = await self._submit(tree, who, waits=True)
+        if asked is None:  # barred: an operation that is over
+            asked = self._make(0, self._tenant_of(tree, who), {"at": unix_us(), "deadline": 0, "request": ""})
+            asked.state, asked.told = answer["answer"].upper(), {**answer, "name": asked.name}
+            asked.answer.set_result(asked.told)
+            asked.over.set()
+            self.ended(asked)
+        return asked
+
+    @staticmethod
+    def _headers(answer: dict) -> dict[str, str]:
+        return {"Retry-After": str(math.ceil(answer["waitMs"] / 1000))} if answer.get("waitMs") else {}
+
+    def _tenant_of(self, tree: dict, who: object) -> int:
+        names = [tenant.name for tenant in self._settings.tenants]
+        name = getattr(who, "tenant", "") or tree.get("tenant")
+        return names.index(name) if name in names else 0
+
+    async def _submit(self, tree: dict, who: object, waits: bool) -> tuple[Submitted | None, dict]:
+        """Take one submission: the operation, or the answer to one that is barred."""
+        tree = self._for(tree, who)
+        setup, blob, wanted, request_id = self._read(tree)
+        cls = self._settings.classes[setup.class_index]
+        if request_id and (known := self._by_request.get((setup.tenant, request_id))):
+            same = {name: tree.get(name) for name in RECORDED_FIELDS if name != "left"}
+            if known.fields and same != {name: known.fields.get(name) for name in same}:
+                raise HttpError(409, "requestId: another submission had it", "requestId")
+            return known, {}
+        if answer := self._barred(setup.key, cls):
+            return None, answer
+        if self._book.full:
+            raise HttpError(503, f"store: {self._book.full}", "store", 1.0)
+        now = unix_us()
+        deadline = now + min(setup.left_us, cls.deadline_us)
+        meta = {
+            "at": now,
+            "deadline": deadline,
+            "request": request_id,
+            "waits": waits,
+            "tenant": setup.tenant,
+        }
+        asked = self._make(setup.key, setup.tenant, meta)
+        asked.fields = {name: tree[name] for name in RECORDED_FIELDS if name in tree}
+        self._ledger.ask(setup.key)
+        if request_id:
+            self._by_request[setup.tenant, request_id] = asked
+        passed = Passed(setup, blob, asked.machine_says, lambda: self._first_record(asked, blob))
+        if waits or request_id:
+            try:
+                await self._book.may(*self._first_record(asked, blob))
+            except LogError as fault:
+                asked.refused(1_000_000, "the store takes nothing")
+                raise HttpError(503, f"store: {fault}", "store", 1.0) from None
+        task = self._task(asked.name, setup, deadline, passed, wanted)
+        asked.ticket = Ticket(setup.tenant, deadline, now, setup.again)
+        self._come(asked, task)
+        return asked, {}
+
+    def _for(self, tree: dict, who: object) -> dict:
+        """A submitter acts for the tenant that its token names, and for no other."""
+        tenant = getattr(who, "tenant", "")
+        if not tenant:
+            return tree
+        if tree.get("tenant", tenant) not in ("", tenant):
+            raise HttpError(403, "tenant: the token is for another one", "tenant")
+        return {**tree, "tenant": tenant}
+
+    def _read(self, tree: dict) -> tuple[Setup, str, Worker, str]:
         try:
             setup = self._form.read(tree)
         except FieldError as fault:
             raise HttpError(400, str(fault), fault.field) from None
         cls = self._settings.classes[setup.class_index]
-        blob = tree.get("blob", "")
+        blob, request_id = tree.get("blob", ""), tree.get("requestId", "")
         if not isinstance(blob, str) or len(blob) > BLOB_MOST:
             raise HttpError(400, f"blob: a text of at most {BLOB_MOST} characters is needed", "blob")
+        if not isinstance(request_id, str) or len(request_id) > REQUEST_ID_MOST:
+            raise HttpError(
+                400, f"requestId: a text of at most {REQUEST_ID_MOST} characters is needed", "requestId"
+            )
         if setup.at:
             raise HttpError(400, "extras.at: a pull queue knows who holds a task", "extras.at")
         if not setup.key and cls.effect is not i.Effect.SAFE:
             raise HttpError(400, "key: tasks of this class need one", "key")
         if setup.left_us < 1000:
             raise HttpError(400, "left: at least 1 millisecond is needed", "left")
-        if answer := self._barred(setup.key, cls):
-            return answer
+        wanted = read_worker(tree.get("requirements"), "requirements")
+        return setup, blob, wanted, request_id
+
+    def _make(self, key: int, tenant: int, meta: dict) -> Submitted:
         self._serial += 1
         name = f"tasks/{self._epoch}-{self._serial}"
-        asked = self._known[name] = Submitted(self, name, setup.key)
-        self._ledger.ask(setup.key)
-        task = ports.Task(name, setup.class_index, setup.service, setup.cores, setup.memory,
-                          unix_us() + min(setup.left_us, cls.deadline_us), setup.key, setup.tenant,
-                          setup.again, (setup, blob))
+        asked = self.known[name] = Submitted(self, name, key, tenant, meta)
+        return asked
+
+    def _task(self, name: str, setup: Setup, deadline: int, passed: Passed, wanted: Worker) -> ports.Task:
+        only = Matching(wanted, self._bots.workers) if wanted != NOTHING else None
+        return ports.Task(
+            name,
+            setup.class_index,
+            setup.service,
+            setup.cores,
+            setup.memory,
+            deadline,
+            setup.key,
+            setup.tenant,
+            setup.again,
+            passed,
+            only,
+        )
+
+    def _first_record(self, asked: Submitted, blob: str) -> tuple[bytes, ...]:
+        """A submission is in the book before the first thing that rests on it."""
+        if asked.recorded:
+            return ()
+        asked.recorded = True
+        return (durable.encode("asked", asked.name, asked.fields, blob, asked.meta),)
+
+    # ---- the gate ------------------------------------------------------------------------------------------
+
+    def _come(self, asked: Submitted, task: ports.Task) -> None:
+        verdict, wait, put_out = self.gate.come(asked.ticket, unix_us())
+        if put_out is not None and (waiting := self._entering.pop(put_out, None)) is not None:
+            waiting.set_result(False)
+        if verdict is Verdict.IN:
+            self._arrive(asked, task)
+        elif verdict is Verdict.REFUSED:
+            asked.ticket = None
+            asked.refused(self._spread(wait), "no answer would come in time")
+        else:
+            waiting = self._entering[asked.ticket] = asyncio.get_running_loop().create_future()
+            waiting.add_done_callback(lambda told: self._called(asked, task, told))
+
+    def _called(self, asked: Submitted, task: ports.Task, told: asyncio.Future[bool]) -> None:
+        if asked.told is not None or asked.over.is_set():  # given up meanwhile
+            if told.result():
+                self.gate.leave(asked.ticket, unix_us())
+            return
+        if told.result():
+            self._arrive(asked, task)
+        else:
+            asked.ticket = None
+            asked.refused(self._spread(self.gate.advice_us()), "no answer would come in time")
+
+    def _arrive(self, asked: Submitted, task: ports.Task) -> None:
         asked.life = self._core.arrive(task, asked)
-        try:
-            answer = await asyncio.shield(asked.answer)
-        except asyncio.CancelledError:  # the submitter has gone: nobody waits for the answer
-            if asked.state == "ASKED":
-                asked.life.tell(ports.GivenUp())
-                asked.ended_by_owner()
-            raise
-        wait = {"Retry-After": str(math.ceil(answer["waitMs"] / 1000))} if answer.get("waitMs") else {}
-        return answer, wait
+        ticket = asked.ticket
+
+        def left(_: object) -> None:
+            self.gate.leave(ticket, unix_us())
+            self._let_in()
+
+        asked.answer.add_done_callback(left)
+
+    def _let_in(self) -> None:
+        if not self.gate.waiting:
+            return
+        let_in, late = self.gate.next(unix_us())
+        for tickets, verdict in ((let_in, True), (late, False)):
+            for ticket in tickets:
+                if (waiting := self._entering.pop(ticket, None)) is not None and not waiting.done():
+                    waiting.set_result(verdict)
 
-    def _barred(self, key: int, cls: i.RequestClass) -> tuple[dict, dict[str, str]] | None:
+    def _spread(self, wait_us: float) -> int:
+        """Guards against all who were turned away coming back in the same moment."""
+        most = self._settings.max_retry_after_us or 30_000_000
+        return int(min(wait_us * (0.75 + 0.5 * self._random.random()), most))
+
+    def _barred(self, key: int, cls: i.RequestClass) -> dict | None:
         """The answer to a key that can't go out now, whatever the module would say."""
+        if self._bots.stale:
+            raise HttpError(503, f"store: {self._bots.stale}", "store", 30.0)
         match self._ledger.refusal(key, cls):
             case Refusal.BUSY:
                 raise HttpError(409, f"key: {Refusal.BUSY.value}", "key")
             case Refusal.SPENT:
-                return {"answer": "failed", "reason": Refusal.SPENT.value}, {}
+                return {"answer": "failed", "reason": Refusal.SPENT.value}
             case Refusal.IN_DOUBT:
                 wait = self._ledger.doubt_ends(key) + self._bots.timing.grace - time.time()
                 return self._not_yet(Refusal.IN_DOUBT.value, max(0.0, wait) + 0.1)
-        if (left := self._started + self._bots.timing.settle - time.time()) > 0:
+        # With a store, all leases of a former gateway are known: only a new one lets time pass first.
+        if self._book.fresh and (left := self._started + self._bots.timing.settle - time.time()) > 0:
             return self._not_yet("leases of a former gateway may still run", left)
         if self._ledger.full(cls):
             raise HttpError(503, "class: no more tasks of this class can be remembered", "class")
         return None
 
     @staticmethod
-    def _not_yet(reason: str, wait: float) -> tuple[dict, dict[str, str]]:
-        return ({"answer": "refused", "reason": reason, "waitMs": math.ceil(wait * 1000)},
-                {"Retry-After": str(math.ceil(wait))})
+    def _not_yet(reason: str, wait: float) -> dict:
+        return {"answer": "refused", "reason": reason, "waitMs": math.ceil(wait * 1000)}
+
+    # ---- following and ending ------------------------------------------------------------------------------
 
     async def get(self, name: str, request: Request) -> dict:
-        asked = self._find(name)
+        asked = self.find(name, request.who)
         wait = request.seconds("x-server-timeout", self._bots.timing.poll)
         if wait and not asked.over.is_set():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(asked.over.wait(), wait)
         return self._shown(asked)
 
-    def delete(self, name: str) -> dict:
+    def delete(self, name: str, who: object) -> dict:
         """The submitter ends its task: the puller is told to stop it."""
-        asked = self._find(name)
+        asked = self.find(name, who)
+        if asked.state == "ASKED":
+            raise HttpError(409, "name: no answer yet; close the submission to give the task up", "name")
+        self.cancel(asked)
+        return self._shown(asked)
+
+    def cancel(self, asked: Submitted) -> None:
+        """End it wherever it stands: waiting, under way, or placed."""
         if asked.state == "PLACED":
             asked.life.tell(ports.Released(ports.GIVEN_UP))
             asked.ended_by_owner()
         elif asked.state == "ASKED":
-            raise HttpError(409, "name: no answer yet; close the submission to give the task up", "name")
-        return self._shown(asked)
+            self.give_up(asked)
+
+    def give_up(self, asked: Submitted) -> None:
+        if asked.state != "ASKED":
+            return
+        if asked.life is not None:
+            asked.life.tell(ports.GivenUp())
+        elif asked.ticket is not None:
+            self.gate.leave_queue(asked.ticket)
+            self._entering.pop(asked.ticket, None)
+        asked.told = {
+            "answer": "refused",
+            "name": asked.name,
+            "reason": "given up by its submitter",
+            "waitMs": 0,
+        }
+        asked.ended_by_owner()
+        if not asked.answer.done():
+            asked.answer.set_result(asked.told)
 
-    def ended(self, asked: Submitted, key: int) -> None:
-        self._ledger.answered(key)
-        self._ended.append(asked.id)
+    def ended(self, asked: Submitted) -> None:
+        self._ledger.answered(asked.key)
+        self._ended.append(asked.name)
         if len(self._ended) > ENDED_KEPT:
-            self._known.pop(self._ended.pop(0), None)
+            self.drop(self._ended.popleft())
 
-    def _find(self, name: str) -> Submitted:
-        if name not in self._known:
+    def drop(self, name: str) -> None:
+        """It is no longer told of."""
+        asked = self.known.pop(name, None)
+        if asked is not None:
+            self._by_request.pop((asked.tenant, asked.meta.get("request", "")), None)
+            if asked.recorded:
+                self._book.must(durable.encode("drop", name))
+
+    def record(self, asked: Submitted, payload: bytes) -> asyncio.Future | None:
+        """What has happened to a submission; only for those that are in the book at all."""
+        return self._book.must(payload) if asked.recorded else None
+
+    def find(self, name: str, who: object) -> Submitted:
+        asked = self.known.get(name)
+        tenant = getattr(who, "tenant", "")
+        # Guards other tenants' tasks: their names are as unknown as those that never were.
+        if asked is None or (tenant and self._settings.tenants[asked.tenant].name != tenant):
             raise HttpError(404, "name: no such task", "name")
-        return self._known[name]
+        return asked
 
     @staticmethod
     def _shown(asked: Submitted) -> dict:
-        return {"name": asked.id, "state": asked.state}
+        return {"name": asked.name, "state": asked.state}
+
+    async def changes(self, asked: Submitted) -> AsyncIterator[str]:
+        """Each state from now to the end, the present one first; '' now and then where nothing changes."""
+        last = None
+        while True:
+            changed = asked.changed
+            if asked.state != last:
+                last = asked.state
+                yield last
+            if asked.over.is_set():
+                return
+            if asked.state == last:
+                try:
+                    await asyncio.wait_for(changed.wait(), 5.0)
+                except TimeoutError:
+                    yield ""
+
+    # ---- after a restart -----------------------------------------------------------------------------------
+
+    def restore(self) -> tuple[int, int]:
+        """Take over what the store kept: submissions with their answers, and all leases that are out.
+
+        Returns the leases that go on, and the submissions that are asked for anew.
+        """
+        state = self._book.state
+        out, anew, asked_keys = 0, [], []
+        for one in list(state.operations.values()):
+            try:
+                setup, _, wanted, _ = self._read({**one.fields, "blob": one.blob})
+            except HttpError as fault:
+                self._log(f"store: {one.name} is left out, the settings have changed: {fault}")
+                continue
+            asked = self.known[one.name] = Submitted(self, one.name, setup.key, setup.tenant, one.meta)
+            asked.fields = one.fields
+            asked.restored(one)
+            if one.meta.get("request"):
+                self._by_request[setup.tenant, one.meta["request"]] = asked
+            passed = Passed(setup, one.blob, asked.machine_says)
+            task = self._task(one.name, setup, one.meta["deadline"], passed, wanted)
+            lease = state.leases.get(one.lease)
+            if lease is not None:
+                out += 1
+                machine = self._bots.restore(lease, task)
+                if not one.over:
+                    asked_keys.append(setup.key)
+                asked.life = self._core.adopt(
+                    task,
+                    machine,
+                    Nobody() if one.over else asked,
+                    answered=one.over or one.answer is not None,
+                )
+            elif one.over:
+                self._ended.append(one.name)
+            elif one.answer is not None:  # placed, and its end did not reach the disk
+                asked.released(ports.CUT)
+            else:
+                anew.append((asked, task))
+        self._ledger.restore(state.spent, self._bots.leases_out(), asked_keys)
+        for asked, task in anew:
+            self._again(asked, task)
+        return out, len(anew)
+
+    def _again(self, asked: Submitted, task: ports.Task) -> None:
+        """It was asked for, and never left: it goes its way if somebody may come for the answer in time."""
+        now = unix_us()
+        if now >= task.deadline_us or not (asked.meta.get("waits") or asked.meta.get("request")):
+            asked.refused(0, "the gateway has started anew")
+            return
+        self._ledger.ask(asked.key)
+        asked.ticket = Ticket(asked.tenant, task.deadline_us, now)
+        self._come(asked, task)
--- a/weldhatch/state.py
+++ b/weldhatch/state.py
@@ -77,6 +77,7 @@
 
     def __init__(self, e: RequestArrived | TaskAdopted, settings: Settings, deadline: int) -> None:
         self.id, self.service, self.deadline = e.request, e.service, deadline
+        self.only = getattr(e, "only", None)  # a task that is adopted has no such limit
         self.kind = e.class_index
         self.cls, self.cores, self.memory = settings.classes[e.class_index], e.cores, e.memory
         self.sent: list[tuple[Machine, int]] = []  # machine and time of each attempt
