--- a/weldhatch/cli/main.py
+++ b/weldhatch/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 
 import click
@@ -11,6 +12,7 @@
 from weldhatch.cli import output, settings
 from weldhatch.cli.fleet import fleet
 from weldhatch.forms.reader import FormError
+from weldhatch.keys.errors import KeysError
 from weldhatch.planning.actions import Unplannable
 from weldhatch.planning.plan import PlanError
 
@@ -37,6 +39,26 @@
 root.add_command(fleet)
 
 
+class Later(click.Group):
+    """A group whose module, and its libraries, are imported once it is called for."""
+
+    def __init__(self, name: str, module: str, help: str) -> None:
+        super().__init__(name, help=help)
+        self._module = module
+
+    def _load(self) -> click.Group:
+        return getattr(importlib.import_module(self._module), self.name)
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return self._load().list_commands(ctx)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        return self._load().get_command(ctx, name)
+
+
+root.add_command(Later("keys", "weldhatch.cli.keys", "Certificates and tokens for the pull queue."))
+
+
 @root.command()
 @click.argument("file", metavar="FILE")
 @click.option("--out", metavar="PLAN", help="Where the plan goes (default: FILE.plan).")
@@ -70,7 +92,7 @@
     except click.ClickException as fault:
         fault.show()
         return OLD_FAULT if old else Exit.FAULT
-    except (FormError, Unplannable, PlanError, config.ConfigError, OSError) as fault:
+    except (FormError, Unplannable, PlanError, config.ConfigError, KeysError, OSError) as fault:
         lines = str(fault).split("\n")
         if "--json" in words:
             click.echo(
--- /dev/null
+++ b/weldhatch/client/machine.py
@@ -0,0 +1,228 @@
+"""A build machine: asks for work, runs it, and stops what it may no longer run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import datetime
+
+from weldhatch.client.api import Api, ApiError, Backoff
+
+SAFETY_S = 0.2  # a lease is stopped so long before its expiry: clocks and schedulers are not exact
+
+
+@dataclass(slots=True, frozen=True)
+class Lease:
+    """One task to run."""
+
+    id: str
+    payload: dict
+    assignment: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """How a task ended: code 0 for well (google.rpc.Code), a message, and a result that its submitter is
+    told."""
+
+    code: int = 0
+    message: str = ""
+    result: dict | None = None
+
+
+class Declined(Exception):
+    """Raised by a runner that will not begin a lease: it has never run. `here`: false where it is no room."""
+
+    def __init__(self, message: str = "", no_room: bool = True) -> None:
+        super().__init__(message)
+        self.code = 8 if no_room else 9
+
+
+@dataclass(slots=True)
+class _Held:
+    lease: Lease
+    state: str
+    until: float  # on this machine's monotonic clock
+    work: asyncio.Task | None = None
+    outcome: Outcome | None = None
+
+
+Run = Callable[[Lease], Awaitable[Outcome]]
+
+
+class BuildMachine:
+    """Keeps one session; `run` is called for each lease, and cancelled where its lease ends early.
+
+    The one rule that all else rests on: a task is stopped when its lease expires, whether or not the gateway
+    can
+    be reached.
+    """
+
+    def __init__(
+        self,
+        api: Api,
+        bot_id: str,
+        properties: dict[str, str],
+        run: Run,
+        *,
+        poll_s: float = 1.0,
+        worker: dict | None = None,
+    ) -> None:
+        self._api, self.bot_id, self._run, self._poll_s = api, bot_id, run, poll_s
+        pairs = [{"key": key, "value": value} for key, value in properties.items()]
+        self._worker = {**(worker or {}), "properties": pairs}
+        self._held: dict[str, _Held] = {}
+        self._session = ""
+        self._news = asyncio.Event()
+        self._expiries: asyncio.Task | None = None
+        self.status = "OK"  # what the next update says; all but OK get nothing new
+
+    @property
+    def holding(self) -> tuple[str, ...]:
+        return tuple(self._held)
+
+    async def serve(self) -> None:
+        """Until cancelled. Sessions that are lost are opened anew, with all leases that are still held."""
+        backoff = Backoff()
+        self._expiries = asyncio.ensure_future(self._watch_expiries())
+        try:
+            while True:
+                try:
+                    await self._update()
+                    backoff = Backoff()
+                    for _ in range(3):  # a runner that declines at once has done so before it is reported
+                        await asyncio.sleep(0)
+                except ApiError as fault:
+                    if fault.code == 404:
+                        self._session = ""
+                    elif fault.code == 409:
+                        continue
+                    elif not fault.transient:
+                        raise
+                    await asyncio.sleep(backoff.next(fault.retry_s))
+        finally:
+            self._expiries.cancel()
+            await self._stop_all()
+
+    async def leave(self) -> None:
+        """Say goodbye: nothing new comes, and what is held is left to its expiry."""
+        self.status = "BOT_TERMINATING"
+        with contextlib.suppress(ApiError):
+            await self._update()
+
+    async def _update(self) -> None:
+        listed = [self._listed(held) for held in self._held.values()]
+        begun = time.monotonic()
+        busy = any(held.state == "COMPLETED" for held in self._held.values())
+        wait = 0.0 if busy or self.status != "OK" else self._poll_s
+        if self._session:
+            call = self._api.call(
+                "PATCH", self._session, {"leases": listed, "status": self.status}, wait_s=wait
+            )
+        else:
+            call = self._api.call(
+                "POST",
+                "botSessions",
+                {"botId": self.bot_id, "status": self.status, "leases": listed, "worker": self._worker},
+            )
+        said = await self._interrupted(call, wait)
+        if said is None:
+            return
+        self._session = said["name"]
+        reported = {one["id"]: one["state"] for one in listed}
+        for id, state in reported.items():
+            if state in ("COMPLETED", "CANCELLED"):
+                self._held.pop(id, None)
+        for tree in said["leases"]:
+            self._told(tree, begun)
+
+    async def _interrupted(self, call: Awaitable[dict], wait: float) -> dict | None:
+        """An update that waits for work is given up when a task ends: that is told at once.
+
+        The later update voids the earlier one, so no lease can be lost with it.
+        """
+        self._news.clear()
+        task = asyncio.ensure_future(call)
+        if not wait:
+            return await task
+        news = asyncio.ensure_future(self._news.wait())
+        try:
+            await asyncio.wait([task, news], return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                return task.result()
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+            return None
+        finally:
+            news.cancel()
+
+    @staticmethod
+    def _listed(held: _Held) -> dict:
+        tree: dict = {"id": held.lease.id, "state": held.state}
+        if held.outcome is not None:
+            tree["status"] = {"code": held.outcome.code, "message": held.outcome.message}
+            if held.outcome.result is not None:
+                tree["result"] = held.outcome.result
+        return tree
+
+    def _told(self, tree: dict, begun: float) -> None:
+        """One lease as the gateway lists it. Its expiry is counted from when the update was sent: never
+        late."""
+        held = self._held.get(tree["id"])
+        if tree["state"] == "CANCELLED":
+            if held is not None:
+                self._stop(held)
+            return
+        span = max(0.0, _unix(tree["expireTime"]) - time.time())
+        if held is None and tree["state"] == "PENDING" and "payload" in tree:
+            held = _Held(
+                Lease(tree["id"], tree["payload"], tree.get("assignment", "")),
+                "ACTIVE",
+                time.monotonic() + span - SAFETY_S,
+            )
+            self._held[held.lease.id] = held
+            held.work = asyncio.ensure_future(self._work(held))
+            self._news.set()
+        elif held is not None and held.state == "ACTIVE":
+            held.until = min(begun, time.monotonic()) + span - SAFETY_S
+
+    async def _work(self, held: _Held) -> None:
+        try:
+            held.outcome = await self._run(held.lease)
+            held.state = "COMPLETED"
+        except Declined as fault:
+            held.outcome, held.state = Outcome(fault.code, str(fault)), "COMPLETED"
+        except asyncio.CancelledError:
+            held.state = "CANCELLED"
+        except Exception as fault:
+            held.outcome, held.state = Outcome(2, f"{type(fault).__name__}: {fault}"), "COMPLETED"
+        self._news.set()
+
+    def _stop(self, held: _Held) -> None:
+        if held.work is not None and not held.work.done():
+            held.work.cancel()
+        else:
+            self._held.pop(held.lease.id, None)
+
+    async def _watch_expiries(self) -> None:
+        """Guards against running on where the gateway can't be reached: the task may be on its way
+        elsewhere."""
+        while True:
+            now = time.monotonic()
+            for held in list(self._held.values()):
+                if held.state == "ACTIVE" and now >= held.until:
+                    self._stop(held)
+            ends = [held.until for held in self._held.values() if held.state == "ACTIVE"]
+            await asyncio.sleep(min([0.1, *(max(0.005, end - now) for end in ends)]))
+
+    async def _stop_all(self) -> None:
+        works = [held.work for held in self._held.values() if held.work is not None and not held.work.done()]
+        for work in works:
+            work.cancel()
+        await asyncio.gather(*works, return_exceptions=True)
+
+
+def _unix(text: str) -> float:
+    return datetime.fromisoformat(text.replace("Z", "+00:00")).timestamp()
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -309,6 +309,13 @@
     settle: float  # nothing goes out for so long after a start: leases of a former gateway may still run
 
 
+@dataclass(slots=True, frozen=True)
+class SecurityFile:
+    keys: str  # the folder that `weldhatch keys` made
+    tls: str  # '' for none, server, mutual
+    tokens: bool
+
+
 @dataclass(slots=True, frozen=True)
 class PullQueueFile:
     enabled: bool
@@ -324,11 +331,13 @@
     remember: int
     timing: Timing
     settings: i.Settings
+    security: SecurityFile
 
 
 PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "control": "", "ledger": "",
                  "states": "", "store": "", "queue": 5000, "idle": 60.0, "connections": 256,
                  "sockets": 1024, "remember": 100_000}
+SECURITY_DEFAULTS = {"keys": "", "tls": "off", "tokens": False}
 TIMING_DEFAULTS = {"lease": 3.0, "grace": 0.5, "session": 15.0, "pickup": 1.0, "poll": 1.0, "settle": 3.5}
 
 
@@ -341,7 +350,7 @@
 def pull_queue(tree: Mapping) -> PullQueueFile:
     """The pull queue's configuration from the tree of its file. A key that is not known is a fault too."""
     for key in tree:
-        if key not in PULL_DEFAULTS and key not in ("timing", "settings"):
+        if key not in PULL_DEFAULTS and key not in ("timing", "settings", "security"):
             raise ConfigError(f"{key} is no key of a pull queue's file")
     timing = _key(tree, "timing", dict, {})
     for key in timing:
@@ -370,9 +379,27 @@
         idle=_span("idle", tree.get("idle", PULL_DEFAULTS["idle"]), 1.0),
         enabled=_key(tree, "enabled", bool, PULL_DEFAULTS["enabled"]),
         listen=endpoint("listen", _key(tree, "listen", str, PULL_DEFAULTS["listen"])),
+        security=_security(tree),
         **counts, timing=Timing(**spans), settings=settings_of_json(_key(tree, "settings", dict)))
 
 
+def _security(tree: Mapping) -> SecurityFile:
+    """Off unless asked for."""
+    told = _key(tree, "security", dict, {})
+    for key in told:
+        if key not in SECURITY_DEFAULTS:
+            raise ConfigError(f"security.{key} is no key of a pull queue's file")
+    values = {**SECURITY_DEFAULTS, **told}
+    for key, kind in (("keys", str), ("tls", str), ("tokens", bool)):
+        if not isinstance(values[key], kind):
+            raise ConfigError(f"security.{key} has the unusable value {values[key]!r}")
+    if values["tls"] not in ("off", "server", "mutual"):
+        raise ConfigError(f"security.tls has the unusable value {values['tls']!r}: off, server or mutual")
+    if (values["tls"] != "off" or values["tokens"]) and not values["keys"]:
+        raise ConfigError("security.keys is missing: the folder that `weldhatch keys init` made")
+    return SecurityFile(values["keys"], "" if values["tls"] == "off" else values["tls"], values["tokens"])
+
+
 def _span(key: str, value: object, least: float) -> float:
     """A span of seconds."""
     if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= 3600:
--- /dev/null
+++ b/weldhatch/conform/__init__.py
@@ -0,0 +1,1 @@
+"""A conformance suite for the pull queue: a black box that plays build machine and submitter."""
--- /dev/null
+++ b/weldhatch/keys/certificates.py
@@ -0,0 +1,107 @@
+"""Certificates of a site's own: an authority, and leaves for gateways, machines and submitters. No I/O."""
+
+from __future__ import annotations
+
+import datetime
+import ipaddress
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.serialization import (
+    Encoding,
+    NoEncryption,
+    PrivateFormat,
+    load_pem_private_key,
+)
+from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
+
+AUTHORITY_DAYS, LEAF_DAYS = 3650, 90
+BACK = datetime.timedelta(minutes=5)  # clocks differ
+
+Pair = tuple[bytes, bytes]  # certificate and private key, PEM
+
+
+def _name(common: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, common)])
+
+
+def _key_bytes(key: ec.EllipticCurvePrivateKey) -> bytes:
+    return key.private_bytes(Encoding.PEM, PrivateFormat.PKCS8, NoEncryption())
+
+
+def authority(common: str, now: datetime.datetime, days: int = AUTHORITY_DAYS) -> Pair:
+    """A new certificate authority that signs for itself."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    made = (
+        x509.CertificateBuilder()
+        .subject_name(_name(common))
+        .issuer_name(_name(common))
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - BACK)
+        .not_valid_after(now + datetime.timedelta(days=days))
+        .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
+        .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
+        .add_extension(_usage(sign_certificates=True), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    return made.public_bytes(Encoding.PEM), _key_bytes(key)
+
+
+def _usage(sign_certificates: bool) -> x509.KeyUsage:
+    return x509.KeyUsage(
+        digital_signature=not sign_certificates,
+        key_cert_sign=sign_certificates,
+        crl_sign=sign_certificates,
+        content_commitment=False,
+        key_encipherment=False,
+        data_encipherment=False,
+        key_agreement=False,
+        encipher_only=False,
+        decipher_only=False,
+    )
+
+
+def leaf(
+    signer: Pair, common: str, names: list[str], server: bool, now: datetime.datetime, days: int = LEAF_DAYS
+) -> Pair:
+    """A certificate that the authority signs, for a gateway (`server`) or a client called `common`.
+
+    names: host names and addresses that a server answers to.
+    """
+    ca = x509.load_pem_x509_certificate(signer[0])
+    ca_key = load_pem_private_key(signer[1], None)
+    key = ec.generate_private_key(ec.SECP256R1())
+    usage = ExtendedKeyUsageOID.SERVER_AUTH if server else ExtendedKeyUsageOID.CLIENT_AUTH
+    builder = (
+        x509.CertificateBuilder()
+        .subject_name(_name(common))
+        .issuer_name(ca.subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - BACK)
+        .not_valid_after(now + datetime.timedelta(days=days))
+        .add_extension(x509.BasicConstraints(ca=False, path_length=None), critical=True)
+        .add_extension(x509.ExtendedKeyUsage([usage]), critical=False)
+        .add_extension(_usage(sign_certificates=False), critical=True)
+        .add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(ca.public_key()), critical=False)
+    )
+    if names:
+        builder = builder.add_extension(
+            x509.SubjectAlternativeName([_general(one) for one in names]), critical=False
+        )
+    return builder.sign(ca_key, hashes.SHA256()).public_bytes(Encoding.PEM), _key_bytes(key)
+
+
+def _general(name: str) -> x509.GeneralName:
+    try:
+        return x509.IPAddress(ipaddress.ip_address(name))
+    except ValueError:
+        return x509.DNSName(name)
+
+
+def describe(pem: bytes) -> tuple[str, datetime.datetime]:
+    """The common name and the end of a certificate."""
+    read = x509.load_pem_x509_certificate(pem)
+    return read.subject.get_attributes_for_oid(NameOID.COMMON_NAME)[0].value, read.not_valid_after_utc
--- /dev/null
+++ b/weldhatch/keys/folder.py
@@ -0,0 +1,140 @@
+"""The folder of keys, as `weldhatch keys` makes it and a gateway reads it.
+
+ca.pem ca.key            the authority; the key can be kept elsewhere
+server.pem server.key    the gateway's certificate
+clients/NAME.pem .key    those of machines and submitters, to be handed out
+tokens.json              public keys of tokens with their ends, and revoked ids
+signing/ID.pem           private keys of tokens; a gateway needs none of them
+"""
+
+from __future__ import annotations
+
+import datetime
+import json
+import os
+import secrets
+import ssl
+from pathlib import Path
+
+from weldhatch.keys import certificates, tokens
+from weldhatch.keys.errors import KeysError
+
+ROTATE_OVERLAP_S = 7 * 86400.0
+
+
+class Folder:
+    """One folder of keys. Every file is written whole, private ones for the owner only."""
+
+    def __init__(self, path: str | Path) -> None:
+        self.path = Path(path)
+
+    def _write(self, name: str, data: bytes, private: bool = False) -> None:
+        target = self.path / name
+        target.parent.mkdir(parents=True, exist_ok=True)
+        beside = target.with_name(f"{target.name}.new")
+        handle = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600 if private else 0o644)
+        try:
+            os.write(handle, data)
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+        os.replace(beside, target)
+
+    def _read(self, name: str) -> bytes:
+        try:
+            return (self.path / name).read_bytes()
+        except OSError as fault:
+            raise KeysError(f"{self.path / name}: {fault.strerror}") from None
+
+    # ---- certificates --------------------------------------------------------------------------------------
+
+    def begin(self, common: str, now: datetime.datetime) -> None:
+        """A new authority and a first token key. Raises KeysError where there is one already."""
+        if (self.path / "ca.pem").exists():
+            raise KeysError(f"{self.path / 'ca.pem'}: there is an authority already")
+        certificate, key = certificates.authority(common, now)
+        self._write("ca.pem", certificate)
+        self._write("ca.key", key, private=True)
+        self._write_tokens({"keys": {}, "revoked": {}})
+        self.rotate(now.timestamp())
+
+    def certify(self, common: str, names: list[str], server: bool, now: datetime.datetime, days: int) -> Path:
+        """A certificate for the gateway, or for a client; where its file is."""
+        if not common or "/" in common or common.startswith("."):
+            raise KeysError(f"{common!r}: this can't be a certificate's name")
+        made = certificates.leaf(
+            (self._read("ca.pem"), self._read("ca.key")), common, names, server, now, days
+        )
+        stem = "server" if server else f"clients/{common}"
+        self._write(f"{stem}.key", made[1], private=True)
+        self._write(f"{stem}.pem", made[0])
+        return self.path / f"{stem}.pem"
+
+    def server_context(self, mutual: bool) -> ssl.SSLContext:
+        """What a gateway serves TLS with; `mutual`: clients show certificates of the authority's."""
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        for name in ("server.pem", "server.key", "ca.pem"):
+            self._read(name)  # names the file that is missing
+        try:
+            context.load_cert_chain(self.path / "server.pem", self.path / "server.key")
+            if mutual:
+                context.load_verify_locations(self.path / "ca.pem")
+                context.verify_mode = ssl.CERT_REQUIRED
+        except (ssl.SSLError, OSError) as fault:
+            raise KeysError(f"{self.path}: server.pem, server.key or ca.pem can't be used: {fault}") from None
+        return context
+
+    # ---- tokens --------------------------------------------------------------------------------------------
+
+    def _tokens(self) -> dict:
+        try:
+            tree = json.loads(self._read("tokens.json"))
+            return {"keys": dict(tree["keys"]), "revoked": dict(tree["revoked"])}
+        except (ValueError, KeyError, TypeError) as fault:
+            raise KeysError(f"{self.path / 'tokens.json'}: {fault!r}") from None
+
+    def _write_tokens(self, tree: dict) -> None:
+        self._write("tokens.json", json.dumps(tree, indent=1).encode())
+
+    def rotate(self, now: float, overlap_s: float = ROTATE_OVERLAP_S) -> str:
+        """A new key signs from now on; the earlier ones stay good for the overlap. Its id."""
+        tree = self._tokens()
+        for entry in tree["keys"].values():
+            entry["until"] = entry["until"] or now + overlap_s
+        tree["keys"] = {
+            name: entry for name, entry in tree["keys"].items() if not entry["until"] or entry["until"] > now
+        }
+        key_id = f"k{secrets.token_hex(4)}"
+        private, public = tokens.new_key()
+        tree["keys"][key_id] = {"public": public.decode(), "until": 0, "made": now}
+        self._write(f"signing/{key_id}.pem", private, private=True)
+        self._write_tokens(tree)
+        return key_id
+
+    def token(
+        self, name: str, role: tokens.Role, tenant: str, now: float, seconds: float
+    ) -> tuple[str, tokens.Claims]:
+        """A new token, signed by the newest key."""
+        keys = self._tokens()["keys"]
+        newest = max((entry["made"], key_id) for key_id, entry in keys.items() if not entry["until"])[1]
+        claims = tokens.Claims(name, role, tenant, f"t{secrets.token_hex(8)}", now + seconds)
+        return tokens.sign(claims, self._read(f"signing/{newest}.pem"), newest, now), claims
+
+    def revoke(self, token_id: str, now: float) -> None:
+        tree = self._tokens()
+        tree["revoked"][token_id] = now
+        self._write_tokens(tree)
+
+    def keyring(self) -> tokens.Keyring:
+        tree = self._tokens()
+        try:
+            return tokens.Keyring(
+                {
+                    name: (entry["public"].encode(), float(entry["until"]))
+                    for name, entry in tree["keys"].items()
+                },
+                tree["revoked"],
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as fault:
+            raise KeysError(f"{self.path / 'tokens.json'}: {fault!r}") from None
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -162,6 +162,8 @@
         bot_id = tree.get("botId")
         if not isinstance(bot_id, str) or not 0 < len(bot_id) <= 200:
             raise HttpError(400, "botId: a text of 1 to 200 characters is needed", "botId")
+        if request.who is not None and request.who.name != bot_id:
+            raise HttpError(403, "botId: a machine opens sessions under its own name only", "botId")
         worker = read_worker(tree.get("worker"), "worker")
         cores, memory, hall, rack = self._place(worker)
         state, listed = self._status(tree), self._listed(tree)
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -23,6 +23,7 @@
 from weldhatch.pullqueue.leases import Ledger
 from weldhatch.pullqueue.operations import Operations
 from weldhatch.pullqueue.operators import Operators, Word
+from weldhatch.pullqueue.security import Security
 from weldhatch.pullqueue.tasks import Tasks
 from weldhatch.store.log import Log
 
@@ -62,7 +63,8 @@
             log(f"store: epoch {self.book.epoch}, {out} leases go on, {anew} submissions are asked for anew")
         self._share = Share(Budget(told.sockets), told.connections)
         self._links: dict[Connection, HttpLink] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._serving: set[asyncio.Task] = set()
+        self.security = Security(told.security)
         self.listener = Listener(told.listen, self._share, self._taken)
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
@@ -92,13 +94,24 @@
             self.bots.operated(word.machine)
 
     def _taken(self, stream: IOStream, host: str) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(stream, host))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _serve(self, stream: IOStream, host: str) -> None:
+        """One client's connection, from its handshake to its end."""
+        try:
+            stream, certificate = await self.security.shake_hands(stream)
+        except OSError as fault:
+            self._log(f"pull queue client {host}: closed: {fault}")
+            self._share.give_back()
+            return
         connection = Connection(stream, self._share, f"pull queue client {host}", self._log)
-        link = HttpLink(connection, self._route, self._log, host)
-        self._links[connection] = link
-        task = asyncio.get_running_loop().create_task(link.run())
-        task.add_done_callback(lambda _: self._links.pop(connection, None))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        link = self._links[connection] = HttpLink(connection, self._route, self._log, host, certificate)
+        try:
+            await link.run()
+        finally:
+            self._links.pop(connection, None)
 
     async def _watch(self) -> None:
         """Guards descriptors against clients that connect and say nothing, or stop in the middle."""
@@ -108,7 +121,7 @@
             for connection, link in list(self._links.items()):
                 if not link.idle:
                     continue
-                if connection.owed_since and now - connection.owed_since > HALF_S:
+                if link.owed_since and now - link.owed_since > HALF_S:
                     self._log(f"{connection.name}: closed: the rest of a request did not come")
                     connection.send(
                         encode_error(HttpError(408, "the rest of the request did not come", last=True))
@@ -123,6 +136,8 @@
             raise HttpError(404, f"path: it begins with {PREFIX}", "path")
         head, _, rest = path.partition("/")
         name, colon, verb = rest.partition(":")
+        if self.security.asks:
+            request.who = self.security.who(request, head.partition(":")[0])
         match request.method, head, bool(rest), verb:
             case "POST", "botSessions", False, _:
                 return await self.bots.create(request), {}
@@ -179,6 +194,11 @@
         if self._words is not None:
             self._words.close()
 
+    def reload(self) -> None:
+        """Certificates and keys anew, for connections and calls from now on. ConfigError: the old ones
+        stay."""
+        self.security.load()
+
     def reconfigure(self, told: PullQueueFile) -> None:
         """Take over all that can change while it runs. What can fail comes first: wholly or not at all."""
         listener = self.listener
--- a/weldhatch/pullqueue/http.py
+++ b/weldhatch/pullqueue/http.py
@@ -36,6 +36,7 @@
     last: bool = False  # the client closes after its answer
     peer: str = ""
     who: object = None  # what its token says, where tokens are asked for
+    certificate: str = ""  # the name in the certificate that its connection showed
 
     def json(self) -> dict:
         try:
@@ -66,7 +67,7 @@
         self._go_on = go_on
         self._request: Request | None = None
         self._left = 0  # of a body of known length, or of a chunk
-        self._chunked = self._trailers = False
+        self._chunked = self._trailers = self._line_end = False
         self._body = bytearray()
 
     def parse(self, ring: Ring) -> Request | None:
@@ -84,6 +85,11 @@
         request.body, self._body = bytes(self._body), bytearray()
         return request
 
+    @property
+    def begun(self) -> bool:
+        """A request's head has been read, and its body is not whole."""
+        return self._request is not None
+
     def _copy(self, ring: Ring) -> None:
         if count := min(self._left, len(ring)):
             self._body += ring.take(count)
@@ -171,15 +177,15 @@
                 self._copy(ring)
                 if self._left:
                     return False
-                self._left = -2  # the line end behind the chunk
+                self._line_end = True  # behind the chunk
             end = ring.find(b"\n")
             if end < 0:
                 if len(ring) > CHUNK_LINE_MOST:
                     raise HttpError(400, "a chunk's size that does not end", "body", last=True)
                 return False
             line = ring.take(end + 1).strip()
-            if self._left == -2:
-                self._left = 0
+            if self._line_end:
+                self._line_end = False
                 if line:
                     raise HttpError(400, "a chunk longer than its size", "body", last=True)
             elif self._trailers:
@@ -228,8 +234,14 @@
     """One client's connection. Requests on it are answered one after the other, in order."""
 
     def __init__(
-        self, connection: Connection, handler: Handler, log: Callable[[str], None], peer: str = ""
+        self,
+        connection: Connection,
+        handler: Handler,
+        log: Callable[[str], None],
+        peer: str = "",
+        certificate: str = "",
     ) -> None:
+        self._certificate = certificate
         self.connection, self._handler, self._log, self._peer = connection, handler, log, peer
         self._waiting: deque[Request] = deque()
         self._bytes = 0
@@ -238,6 +250,7 @@
         self._owes_go_on = False
         self._fault: HttpError | None = None
         self.answered = time.monotonic()
+        self.owed_since = 0.0  # since when the rest of a request that has begun is awaited
 
     @property
     def idle(self) -> bool:
@@ -253,7 +266,12 @@
 
     def _parse(self, ring: Ring) -> Request | None:
         try:
-            return self._reader.parse(ring)
+            request = self._reader.parse(ring)
+            if request is None and (self._reader.begun or len(ring)):
+                self.owed_since = self.owed_since or time.monotonic()
+            else:
+                self.owed_since = 0.0
+            return request
         except HttpError as fault:
             self._fault = fault
             raise Malformed(str(fault)) from None
@@ -276,7 +294,7 @@
 
     def _take(self, request: Request) -> None:
         request.closed = lambda: self.connection.closed
-        request.peer = self._peer
+        request.peer, request.certificate = self._peer, self._certificate
         self._bytes += len(request.body)
         if len(self._waiting) >= PIPELINED_MOST or self._bytes > PIPELINED_BYTES:
             self._fault = HttpError(
--- a/weldhatch/pullqueue/operations.py
+++ b/weldhatch/pullqueue/operations.py
@@ -207,7 +207,7 @@
     if not token:
         return ""
     try:
-        return base64.urlsafe_b64decode(token + "=" * (-len(token) % 4)).decode()
+        return base64.b64decode(token + "=" * (-len(token) % 4), b"-_", validate=True).decode()
     except (ValueError, UnicodeDecodeError):
         raise HttpError(400, "pageToken: not one that was given", "pageToken") from None
 
--- a/weldhatch/serving.py
+++ b/weldhatch/serving.py
@@ -128,8 +128,15 @@
 
     def reload(self) -> None:
         """SIGHUP: read the platform's file again. One that can't be used is logged, and the old one stays."""
+        for front in self.fronts:
+            if isinstance(front, PullQueue):
+                try:
+                    front.reload()
+                except config.ConfigError as fault:
+                    log(f"keys not taken over, the old ones stay: {fault}")
+                else:
+                    log("pull queue: keys read again; its settings are changed by plan and apply")
         if self._gateway is None:
-            log("told to read the configuration again: the pull queue's is changed by plan and apply")
             return
         try:
             self._gateway.reconfigure(config.platform(os.environ))
