Add the conformance suite, numbered promises, and early refusals under overload

Need: nothing proved the protocol as documented, and 5,000 submitters at once heard their answers after they had left.

--- a/benchmarks/pullqueue.py
+++ b/benchmarks/pullqueue.py
@@ -109,11 +109,14 @@
     def __init__(self, port: int) -> None:
         self._port, self._reader, self._writer = port, None, None
 
+    async def open(self) -> None:
+        self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self._port)
+
     async def call(
         self, method: str, path: str, body: dict | None = None, wait: float = 0.0
     ) -> tuple[int, dict]:
         if self._writer is None:
-            self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self._port)
+            await self.open()
         data = json.dumps(body).encode() if body is not None else b""
         head = f"{method} {PREFIX}{path} HTTP/1.1\r\nContent-Length: {len(data)}\r\n"
         self._writer.write(f"{head}X-Server-Timeout: {wait:g}\r\n\r\n".encode() + data)
@@ -245,6 +248,13 @@
             link.close()
         heard.append((key, at, time.time(), answer))
 
+    if not rate:  # all are connected before the first one asks: an owner's time counts from its asking
+        for at in range(0, count, 50):
+            links = [Link(port) for _ in range(min(50, count - at))]
+            await asyncio.gather(*(link.open() for link in links))
+            free += links
+        print("ready", flush=True)
+        await asyncio.get_running_loop().run_in_executor(None, sys.stdin.readline)
     begun, running = time.time(), []
     for n in range(count):
         if rate:
@@ -289,6 +299,10 @@
     def line(self) -> str:
         return self.process.stdout.readline().strip()
 
+    def go(self) -> None:
+        self.process.stdin.write("\n")
+        self.process.stdin.flush()
+
     def stop(self) -> None:
         with contextlib.suppress(OSError):
             self.process.stdin.write("\n")
@@ -309,11 +323,30 @@
         machines.line()
         time.sleep(0.5)
         cpu = gateway.cpu_s()
-        submitters = Role("--submit", gateway.port, count, rate, left_s, f"{folder}/heard", 1)
-        submitters.process.wait(300)
+        # Several processes: one alone would read its answers late, and call them late.
+        parts = 4 if count >= 400 else 1
+        submitters = [
+            Role(
+                "--submit",
+                gateway.port,
+                count // parts,
+                rate / parts,
+                left_s,
+                f"{folder}/heard{n}",
+                1 + n * (count // parts),
+            )
+            for n in range(parts)
+        ]
+        if not rate:
+            for one in submitters:
+                one.line()
+            for one in submitters:
+                one.go()
+        for one in submitters:
+            one.process.wait(300)
         cpu = gateway.cpu_s() - cpu
         machines.stop()
-        heard = json.loads(Path(f"{folder}/heard").read_text())
+        heard = [one for n in range(parts) for one in json.loads(Path(f"{folder}/heard{n}").read_text())]
         seen = json.loads(Path(f"{folder}/machines").read_text())
     gateway.kill()
     waits = [end - at for _, at, end, _ in heard]
@@ -333,6 +366,14 @@
     }
 
 
+def once(port: int, count: int, out: str, first: int) -> None:
+    """So many submitters at once, to the end."""
+    role = Role("--submit", port, count, 0, 4.0, out, first)
+    role.line()
+    role.go()
+    role.process.wait(60)
+
+
 def restart(gateway: Gateway) -> dict:
     """30 tasks stand, the gateway is killed and started again: how many go on, and when is work given
     again?"""
@@ -341,13 +382,13 @@
         machines = Role("--machines", gateway.port, 8, 600, f"{folder}/machines")
         machines.line()
         time.sleep(0.5)
-        Role("--submit", gateway.port, 30, 0, 4.0, f"{folder}/heard", 1).process.wait(60)
+        once(gateway.port, 30, f"{folder}/heard", 1)
         placed = sum(answer == "placed" for *_, answer in json.loads(Path(f"{folder}/heard").read_text()))
         time.sleep(0.5)
         gateway.kill()
         gateway.start()
         up = time.time()
-        Role("--submit", gateway.port, 8, 0, 4.0, f"{folder}/again", 1000).process.wait(60)
+        once(gateway.port, 8, f"{folder}/again", 1000)
         time.sleep(1.5)
         machines.stop()
         seen = json.loads(Path(f"{folder}/machines").read_text())
@@ -399,7 +440,7 @@
                 f"standing{name}": told["placed"],
                 f"restart_to_first_handout_s{name}": told["first_handout_s"],
             }
-            for count in (500, 2000):
+            for count in (500, 2000, 5000):
                 told = load(gateway(), count, 0.0, 4.0, 1.0)
                 print(f"  {count} at once", told, flush=True)
                 out |= {
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -289,7 +289,8 @@
         (Path(self.keys) / "server.pem").write_text("broken")
         with self.assertRaisesRegex(config.ConfigError, "server.pem"):
             self.gateway.reload()
-        answer = await Submitter(self.shown("ci", token=later)).submit(Task("safe", key="c1", left_s=4.0), again_s=15)
+        again = Submitter(self.shown("ci", token=later))
+        answer = await again.submit(Task("safe", key="c1", left_s=4.0), again_s=15)
         self.assertTrue(answer.placed)
 
 
@@ -302,7 +303,8 @@
     folder.begin("x", NOW)
     now = NOW.timestamp()
     token, claims = folder.token("ci", tokens.Role.SUBMITTER, "north", now, 100.0)
-    assert folder.keyring().verify(token, now) == tokens.Claims("ci", tokens.Role.SUBMITTER, "north", claims.id,
+    assert folder.keyring().verify(token, now) == tokens.Claims(
+        "ci", tokens.Role.SUBMITTER, "north", claims.id,
                                                                 int(claims.expires))
     for later, said in ((200.0, "expired"), (-100.0, "future")):
         with pytest.raises(tokens.TokenError, match=said):
@@ -339,7 +341,8 @@
 
 
 @pytest.mark.parametrize(("told", "key"), [
-    ({"tls": "maybe"}, "security.tls"), ({"tls": "server"}, "security.keys"), ({"colour": 1}, "security.colour"),
+    ({"tls": "maybe"}, "security.tls"), ({"tls": "server"}, "security.keys"),
+    ({"colour": 1}, "security.colour"),
     ({"tokens": "yes"}, "security.tokens")])
 def test_security_that_can_not_be_used_names_its_key(told, key):
     with pytest.raises(config.ConfigError, match=key):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -94,12 +94,16 @@
         self.gateway.operate(word())
         again = json.loads(bot("b1"))
         again["leases"] = [{"id": self.parties["p1"].seen["lease"], "state": "ACTIVE"}]
+        holding = json.dumps({"leases": again["leases"]})
         await self.play(f"""
             p2 send POST botSessions | {json.dumps(again)}
             p2 expect 200 leases.0.state=ACTIVE
+            p2 send PATCH $session X-Server-Timeout=1 | {holding}
             c2 send POST tasks | {task(key="b2", left=300)}
             c2 expect 200 answer=refused
+            p2 expect 200 leases.0.state=ACTIVE
         """)
+        assert len(self.gateway.bots._bots["b1"].leases) == 1
         self.gateway.operate(word(state="ready", fence=4))
         await self.play(f"""
             c2 send POST tasks | {task(key="b3")}
@@ -141,8 +145,10 @@
         await self.play(f"""
             p1 send POST botSessions | {bot("b1")}
             p1 expect 200
+            p1 send PATCH $session X-Server-Timeout=1 | {{}}
             c1 send POST tasks | {task(left=300)}
             c1 expect 200 answer=refused
+            p1 expect 200 leases=[]
         """)
         self.gateway.operate(word(state="ready", fence=4))
         await self.play(f"""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -78,6 +78,17 @@
     assert (order, missed) == ([good], [late])
 
 
+def test_when_the_pace_becomes_known_those_who_can_not_be_answered_in_time_hear_so():
+    gate, _ = full(most=10_000, rate=0, took=0)
+    tickets = [come(gate, 0, 2 * SECOND)[0] for _ in range(1000)]
+    assert gate.waiting == 1000 and gate.trim(0) == []
+    gate._rate, gate._took_us = 100.0, 10_000.0
+    out = gate.trim(0)
+    assert out == tickets[-len(out):] and 830 < len(out) < 860 and gate.waiting == 1000 - len(out)
+    assert gate.trim(0) == []
+    assert drain(gate, 1)[0] == tickets[:1]
+
+
 def test_a_full_queue_puts_out_the_last_of_whoever_has_most_of_it():
     gate, _ = full({0: 1.0, 1: 1.0}, most=4, rate=10_000)
     held = [come(gate, 0, (60 + n) * SECOND)[0] for n in range(4)]
@@ -103,7 +114,7 @@
     assert gate.limit <= INSIDE_LEAST
     for _ in range(200):
         gate.lag(1000)
-    assert gate.limit > 200
+    assert gate.limit > 200  # again
 
 
 @given(st.integers(0, 1 << 30))
@@ -118,7 +129,8 @@
             ticket, verdict, _, put_out = come(gate, rnd.randrange(3), now + rnd.randint(1, 5 * SECOND), now,
                                                rnd.random() < 0.3)
             waiting.discard(put_out)
-            {Verdict.IN: inside.add, Verdict.WAIT: waiting.add, Verdict.REFUSED: lambda _: None}[verdict](ticket)
+            if verdict is not Verdict.REFUSED:
+                {Verdict.IN: inside, Verdict.WAIT: waiting}[verdict].add(ticket)
         elif inside and rnd.random() < 0.7:
             gate.leave(inside.pop(), now)
             let_in, late = gate.next(now)
@@ -162,13 +174,13 @@
     def pairs(words):
         return [{"key": word.split("=")[0], "value": word.split("=")[1]} for word in words]
 
-    return read_worker({"properties": pairs(properties), "configs": pairs(configs),
-                        "devices": [{"handle": f"d{n}", "properties": pairs(one)} for n, one in enumerate(devices)]},
-                       "worker")
+    own = [{"handle": f"d{n}", "properties": pairs(one)} for n, one in enumerate(devices)]
+    return read_worker({"properties": pairs(properties), "configs": pairs(configs), "devices": own}, "worker")
 
 
 @pytest.mark.parametrize(("wanted", "fits"), [
-    (worker(), True), (worker(["os=linux"]), True), (worker(["os=mac"]), False), (worker(["os=linux", "a=b"]), False),
+    (worker(), True), (worker(["os=linux"]), True), (worker(["os=mac"]), False),
+    (worker(["os=linux", "a=b"]), False),
     (worker(configs=["docker=yes"]), True), (worker(configs=["docker=no"]), False),
     (worker(devices=[["cpu=x86"]]), True), (worker(devices=[["cpu=arm"]]), False),
     (worker(devices=[[], ["gpu=a"]]), True), (worker(devices=[[], ["gpu=a"], ["gpu=a"]]), False),
--- a/weldhatch/cli/main.py
+++ b/weldhatch/cli/main.py
@@ -39,6 +39,15 @@
 root.add_command(fleet)
 
 
+@root.command(context_settings={"ignore_unknown_options": True}, add_help_option=False)
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def conform(words: tuple[str, ...]) -> None:
+    """Check a pull queue against the numbered sentences of docs/pullqueue.md."""
+    from weldhatch.cli.conform import conform as command  # it and its libraries only where it is called for
+
+    command.main(args=list(words), prog_name="weldhatch conform", standalone_mode=True)
+
+
 class Later(click.Group):
     """A group whose module, and its libraries, are imported once it is called for."""
 
--- a/weldhatch/pullqueue/http.py
+++ b/weldhatch/pullqueue/http.py
@@ -21,6 +21,7 @@
 CHUNK_LINE_MOST = 256
 PIPELINED_MOST = 16
 PIPELINED_BYTES = 256 * 1024
+OWED_S = 60.0  # for the answers that stand before a fault's
 LAST_WORD_S = 1.0  # for the answer before a close to leave
 _METHODS = ("GET", "POST", "PATCH", "DELETE", "PUT", "HEAD", "OPTIONS")
 
@@ -280,7 +281,7 @@
         """What was asked before is answered first; then the fault, and the connection ends."""
         working = self._working
         if working is not None:
-            await asyncio.wait([working], timeout=LAST_WORD_S)
+            await asyncio.wait([working], timeout=OWED_S)
         if self._fault is not None:
             self.connection.send(encode_error(self._fault))
             await self.connection.linger(LAST_WORD_S)
--- a/weldhatch/pullqueue/shares.py
+++ b/weldhatch/pullqueue/shares.py
@@ -14,8 +14,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-INSIDE_LEAST, INSIDE_MOST = 24, 512
+INSIDE_LEAST, INSIDE_MOST = 24, 256
 LAG_HIGH_US, LAG_LOW_US = 60_000, 20_000  # lag of the loop above which less is let in, and below which more
+LAG_COUNTED_US = 250_000  # of a long lag: the next turn is shorter
 SMOOTH = 0.05
 RESERVE = 1.25  # an answer is expected to take so many times what the last ones took
 RETRY_SHARE = 0.5  # repeated asks a tenant may have for each first one, while there is a queue
@@ -65,6 +66,7 @@
         self._took_us = 0.0  # smoothed, from entering to the answer
         self._rate = 0.0  # answers a second, smoothed
         self._last_leave = 0
+        self._lag_us = 0.0
 
     def _lane(self, tenant: int) -> _Lane:
         return self._lanes.setdefault(tenant, _Lane(1.0))
@@ -169,8 +171,44 @@
             let_in.append(ticket)
         return let_in, late
 
+    def trim(self, now: int) -> list[Ticket]:
+        """Those who wait and, by the pace that is known now, will not be answered in time.
+
+        Guards against telling thousands at their deadline what is plain long before: when a crowd comes at
+        once, nothing is known of the pace yet, and all of it is let into the queue. While the loop lags, as
+        when a crowd is read, the pace is no measure of what comes after: only those whose time is as good as
+        up are told.
+        """
+        lags = self._lag_us > LAG_HIGH_US
+        if not self.waiting or not (self._rate or lags):
+            return []
+        out: list[Ticket] = []
+        active = sum(lane.weight for lane in self._lanes.values() if lane.waiting)
+        for lane in self._lanes.values():
+            ahead, kept = 0, []
+            for entry in sorted(lane.heap):
+                ticket = entry[2]
+                if ticket.gone:
+                    continue
+                wait = (
+                    min(self._lag_us, LAG_COUNTED_US)
+                    if lags
+                    else self.expected_wait_us(int(ahead * active / lane.weight))
+                )
+                wait += self._took_us
+                if now + wait * RESERVE > ticket.deadline:
+                    ticket.gone = True
+                    out.append(ticket)
+                else:
+                    ahead += 1
+                    kept.append(entry)
+            lane.heap, lane.waiting = kept, len(kept)
+        self.waiting -= len(out)
+        return out
+
     def lag(self, lag_us: float) -> None:
         """The loop's own delay, told a few times a second: less is let in while it is high."""
+        self._lag_us = lag_us
         if lag_us > LAG_HIGH_US:
             self.limit = max(INSIDE_LEAST, min(self.limit, self.inside + 1) * 0.85)
         elif lag_us < LAG_LOW_US:
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -19,6 +19,7 @@
 from weldhatch.core import ports
 from weldhatch.core.driver import unix_us
 from weldhatch.core.life import Core, Life
+from weldhatch.net.turns import Turns
 from weldhatch.pullqueue import durable
 from weldhatch.pullqueue.book import Book, NoBook
 from weldhatch.pullqueue.bots import Bots, Passed
@@ -168,6 +169,7 @@
             {n: max(tenant.portion, 0.001) for n, tenant in enumerate(settings.tenants)} or {0: 1.0}, queue
         )
         self._entering: dict[Ticket, asyncio.Future[bool]] = {}
+        self._turns = Turns(time.monotonic)
         self._lagging = asyncio.get_running_loop().create_task(self._watch_lag())
 
     def close(self) -> None:
@@ -179,7 +181,8 @@
         while True:
             before = time.monotonic()
             await asyncio.sleep(LAG_S)
-            self.gate.lag((time.monotonic() - before - LAG_S) * 1e6)
+            self.gate.lag(max(0.0, time.monotonic() - before - LAG_S) * 1e6)
+            self._tell([], self.gate.trim(unix_us()))
             self._let_in()
 
     # ---- submitting ----------------------------------------------------------------------------------------
@@ -232,7 +235,9 @@
         if self._book.full:
             raise HttpError(503, f"store: {self._book.full}", "store", 1.0)
         now = unix_us()
-        deadline = now + min(setup.left_us, cls.deadline_us)
+        # In a busy loop, what is read now has stood unread for a while: its submitter counts from then.
+        age = int(self._turns.age() * 1e6)
+        deadline = now + max(1000, min(setup.left_us, cls.deadline_us) - age)
         meta = {
             "at": now,
             "deadline": deadline,
@@ -356,7 +361,9 @@
     def _let_in(self) -> None:
         if not self.gate.waiting:
             return
-        let_in, late = self.gate.next(unix_us())
+        self._tell(*self.gate.next(unix_us()))
+
+    def _tell(self, let_in: list[Ticket], late: list[Ticket]) -> None:
         for tickets, verdict in ((let_in, True), (late, False)):
             for ticket in tickets:
                 if (waiting := self._entering.pop(ticket, None)) is not None and not waiting.done():
