Let leases of dead machines run out however often the gateway starts anew

Cause: a gateway that starts counted every lease it restored as out for a whole lease more, so under frequent restarts the leases of machines that had died stayed out for ever and their keys were blocked.

Change: the first renewal of a lease in each epoch is written, and a start writes how long it counts each restored lease; what was not seen in the last epoch keeps its earlier end. A test kills machines and the gateway at random and reads the machines' own records.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -2,16 +2,21 @@
 named."""
 
 import asyncio
+import contextlib
 import json
+import random
 import shutil
 import tempfile
+import time
+from collections import Counter
 from pathlib import Path
 from typing import ClassVar
 
 from scenario import SETTINGS, Client, Scenario
-from test_pullqueue import bot, lease, task
+from test_pullqueue import Run, bot, faults, lease, task
 
 from weldhatch import config
+from weldhatch.client import Api, ApiError, BuildMachine, Outcome, Submitter, Task
 from weldhatch.policy import Policy
 from weldhatch.pullqueue import durable
 from weldhatch.pullqueue.front import PullQueue
@@ -190,6 +195,21 @@
             p2 expect 200 leases.0.state=PENDING
         """)
 
+    async def test_restarts_do_not_keep_the_lease_of_a_dead_machine_alive(self):
+        """Each start gives what was seen in the last epoch one lease more, and what was not nothing."""
+        await self.placed("safe")
+        await self.again(lease=1.0, poll=0.3)
+        [first] = [one.expires for one in self.gateway.bots.leases_out()]
+        for _ in range(3):
+            await self.again(lease=1.0, poll=0.3)
+            [again] = [one.expires for one in self.gateway.bots.leases_out()]
+            self.assertEqual(first, again)
+        held = self.gateway.bots.leases_out()[0].id
+        await self.play(f"p2 send POST botSessions | {self.back(held)}\np2 expect 200 leases.0.state=ACTIVE")
+        await self.again(lease=1.0, poll=0.3)
+        [later] = [one.expires for one in self.gateway.bots.leases_out()]
+        self.assertGreater(later, first)
+
 
 class Stores(Kept):
     async def test_an_older_copy_of_the_store_gives_nothing_out(self):
@@ -326,3 +346,98 @@
         self.assertEqual("", durable.from_later(["leases/7.aa-1", "x", "leases/8.bb-1"], 8, "bb"))
         self.assertEqual("leases/8.cc-1", durable.from_later(["leases/8.cc-1"], 8, "bb"))
         self.assertEqual("leases/9.bb-1", durable.from_later(["leases/9.bb-1"], 8, "bb"))
+
+
+class Storm(Kept):
+    """Machines and the gateway are killed at any moment, over and over; the judge reads what the machines
+    did."""
+
+    timing: ClassVar = {"lease": 1.2, "grace": 0.3, "session": 5, "pickup": 1, "poll": 0.3, "settle": 0}
+    runs_wanted = 200
+
+    async def test_no_second_start_and_one_answer_whatever_is_killed(self):
+        rnd, runs, answers, kills = random.Random(7), [], {}, Counter()
+        self.fixed = self.gateway.listener.address
+        address = f"http://127.0.0.1:{self.fixed[1]}"
+        done = asyncio.Event()
+
+        async def run(lease, hall):
+            own = Run(lease.payload["key"], lease.payload["class"], hall, time.time())
+            runs.append(own)
+            try:
+                await asyncio.sleep(rnd.choice((0.02, 0.1, 0.5)))
+                return Outcome()
+            finally:
+                own.ended = time.time()
+
+        async def machine(n):
+            hall = ("east", "west")[n % 2]
+            while not done.is_set():
+                async with Api(address) as api:
+                    one = BuildMachine(
+                        api,
+                        f"b{n}",
+                        {"cores": "8", "memory": "64", "hall": hall, "rack": f"r{n}"},
+                        lambda lease: run(lease, hall),
+                        poll_s=0.3,
+                    )
+                    serving = asyncio.ensure_future(one.serve())
+                    await asyncio.wait([serving], timeout=rnd.uniform(0.2, 5.0))
+                    serving.cancel()  # killed: what it ran has stopped, and nobody is told
+                    await asyncio.gather(serving, return_exceptions=True)
+                    kills["machine"] += 1
+
+        async def submitter(n):
+            async with Api(address) as api:
+                submitter, serial = Submitter(api), 0
+                while not done.is_set():
+                    serial += 1
+                    asked = Task(
+                        rnd.choice(("safe", "keyed", "unsafe")),
+                        key=f"{n:x}{serial:04x}",
+                        left_s=rnd.choice((0.5, 1.5)),
+                    )
+                    with contextlib.suppress(ApiError):  # nobody answered in its time
+                        answer = await submitter.submit(asked)
+                        if answer.name:
+                            self.assertEqual(answer.answer, answers.setdefault(answer.name, answer.answer))
+
+        async def killer():
+            while not done.is_set():
+                await asyncio.sleep(rnd.uniform(0.05, 1.6))
+                self.gateway.abort()  # records that were not written yet are gone
+                await asyncio.sleep(rnd.choice((0.0, 0.1, 0.4)))
+                self.begin()
+                kills["gateway"] += 1
+
+        jobs = [
+            asyncio.ensure_future(job)
+            for job in (*(machine(n) for n in range(6)), *(submitter(n) for n in range(12)), killer())
+        ]
+        async with asyncio.timeout(120):
+            while len(runs) < self.runs_wanted or kills["gateway"] < 10:
+                failed = [job for job in jobs if job.done() and job.exception()]
+                self.assertFalse(failed, failed)
+                await asyncio.sleep(0.05)
+        done.set()
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+        self.assertEqual([], faults(runs))
+        self.assertGreaterEqual(kills["machine"], 6)
+        self.assertFalse([line for line in self.logged if "fault" in line or "failed on" in line])
+
+    def begin(self, **more):
+        listen = "127.0.0.1:{}".format(self.fixed[1] if hasattr(self, "fixed") else 0)
+        settings = json.loads(json.dumps(SETTINGS))
+        settings["extra"] |= {"cpuBooking": 1, "memBooking": 1}
+        told = config.pull_queue(
+            {
+                "enabled": True,
+                "listen": listen,
+                "store": str(self.store),
+                "timing": {**self.timing, **more},
+                "settings": settings,
+            }
+        )
+        self.gateway = PullQueue(told, Policy(told.settings, 5), self.logged.append)
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -145,6 +145,7 @@
         self._serial = 0
         self.workers: dict[int, Worker] = {}  # by machine, for requirements
         self._leases: dict[str, Lease] = {}
+        self._unseen: set[str] = set()  # restored ones that their machines have not renewed yet
         self._due = Deadlines()
         # A gateway that starts anew makes names that no former one gave.
         self._epoch = book.epoch
@@ -389,6 +390,9 @@
                 bot.stopping[lease.id] = lease
             elif one.state == "ACTIVE":
                 self._extend(lease)
+                if lease.id in self._unseen:
+                    self._unseen.discard(lease.id)
+                    self._book.must(durable.encode("seen", lease.id))
                 if lease.phase is Phase.PENDING:
                     lease.phase = Phase.ACTIVE
                     self._book.must(durable.encode("running", lease.id))
@@ -548,6 +552,11 @@
         self._leases[lease.id] = lease
         bot.add(lease)
         self._extend(lease)
+        if not record.seen and record.until:
+            lease.expires = min(lease.expires, record.until)
+            self._due.set(("lease", lease.id), lease.expires + self.timing.grace)
+        self._book.must(durable.encode("until", lease.id, lease.expires))
+        self._unseen.add(lease.id)
         return bot.machine
 
     def leases_out(self) -> list[Lease]:
--- a/weldhatch/pullqueue/durable.py
+++ b/weldhatch/pullqueue/durable.py
@@ -9,6 +9,8 @@
     rack
     ["back", lease]                                 it did not leave
     ["running", lease]                              its machine has begun it
+    ["seen", lease]                                 its machine has renewed it, told once an epoch
+    ["until", lease, expires]                       a gateway that starts counts it as out until then
     ["over", lease]                                 its one end
     ["answer", name, answer]                        the one final answer
     ["end", name, state, cause, result]             the task is over
@@ -39,6 +41,10 @@
     place: list  # cores, memory, hall, rack
     attempt: int
     running: bool = False
+    # Renewals are not written, each epoch's first one is: what was seen in the last epoch may run for a whole
+    # lease from its end on; what was not runs out when it would have, however often the gateway starts anew.
+    seen: bool = True
+    until: float = 0.0  # Unix seconds; 0 where it is not known
 
 
 @dataclass(slots=True)
@@ -79,6 +85,8 @@
         match word, rest:
             case "epoch", [number, token, _]:
                 self.epoch, self.token = number, token
+                for one in self.leases.values():
+                    one.seen = False
             case "asked", [name, fields, blob, meta]:
                 self.operations[name] = OperationRecord(name, fields, blob, meta)
             case "handed", [lease, name, bot, place, attempt]:
@@ -87,7 +95,14 @@
                     self.operations[name].lease = lease
             case "running", [lease]:
                 if lease in self.leases:
-                    self.leases[lease].running = True
+                    one = self.leases[lease]
+                    one.running, one.seen, one.until = True, True, 0.0
+            case "seen", [lease]:
+                if lease in self.leases:
+                    self.leases[lease].seen, self.leases[lease].until = True, 0.0
+            case "until", [lease, expires]:
+                if lease in self.leases:
+                    self.leases[lease].seen, self.leases[lease].until = False, expires
             case "over" | "back", [lease]:
                 self.leases.pop(lease, None)
             case "answer", [name, answer]:
@@ -123,6 +138,8 @@
             yield encode("handed", lease.id, lease.operation, lease.bot, lease.place, lease.attempt)
             if lease.running:
                 yield encode("running", lease.id)
+            if not lease.seen:
+                yield encode("until", lease.id, lease.until)
         for one in self.operations.values():
             if one.answer is not None:
                 yield encode("answer", one.name, one.answer)
