--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -12,11 +12,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from scenario import SETTINGS
 
-import weldhatch.conform.checks  # noqa: F401 - fills CHECKS
 from weldhatch import config
 from weldhatch.client import Api, ApiError
-from weldhatch.conform.suite import CHECKS, Target, report, run
+from weldhatch.conform.runner import report, run
+from weldhatch.conform.suite import CHECKS, Target
 from weldhatch.policy import Policy
+from weldhatch.pullqueue import bots as bots_module
 from weldhatch.pullqueue.front import PullQueue
 
 ROOT = Path(__file__).parent.parent
@@ -66,7 +67,7 @@
         await broken("3.1", bots, "_extend", lambda lease: setattr(lease, "expires", 9e9))
         await broken("6.4", tasks, "_barred", lambda key, cls: None)
         await broken("4.4", tasks, "_by_request", _Forgetful())
-        await broken("2.8", bots, "_masked", lambda tree, mask: tree)
+        await broken("2.8", bots_module, "masked", lambda tree, mask: tree)
 
 
 class _Forgetful(dict):
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -18,7 +18,7 @@
 from weldhatch import config
 from weldhatch.client import Api, ApiError, BuildMachine, Outcome, Submitter, Task
 from weldhatch.policy import Policy
-from weldhatch.pullqueue import durable
+from weldhatch.pullqueue import book, durable
 from weldhatch.pullqueue.front import PullQueue
 from weldhatch.store.log import Log, LogError
 
@@ -296,6 +296,34 @@
         await self.play(f"c3 send GET {name}\nc3 expect 200 state=DONE")
 
 
+class Compaction(Kept):
+    async def test_the_log_is_cut_down_while_the_gateway_serves(self):
+        before = book.COMPACT_OVER, book.COMPACT_FACTOR
+        book.COMPACT_OVER, book.COMPACT_FACTOR = 30, 1
+        try:
+            held, name = await self.placed()
+            for n in range(40):
+                await self.play(f"c2 send POST operations | {task(key=f'c{n}')}\nc2 expect 200")
+                await self.play(
+                    "c2 send POST $operation:cancel | {}\nc2 expect 200".replace(
+                        "$operation", list(self.gateway.tasks.known)[-1].replace("tasks", "operations")
+                    )
+                )
+                await self.play(
+                    "c2 send DELETE $operation | {}\nc2 expect 200".replace(
+                        "$operation", list(self.gateway.tasks.known)[-1].replace("tasks", "operations")
+                    )
+                )
+            await self.gateway.book.flush()
+            self.assertLess(self.gateway.book._log.count, 80)
+        finally:
+            book.COMPACT_OVER, book.COMPACT_FACTOR = before
+        self.assertIn("cut down", " ".join(self.logged))
+        await self.again()
+        await self.play(f"c3 send GET {name}\nc3 expect 200 state=PLACED")
+        assert held in self.gateway.book.state.leases
+
+
 class Folds(Scenario):
     async def asyncSetUp(self):
         pass
--- a/weldhatch/cli/conform.py
+++ b/weldhatch/cli/conform.py
@@ -6,7 +6,8 @@
 
 import click
 
-from weldhatch.conform.suite import Target, report, run
+from weldhatch.conform.runner import report, run
+from weldhatch.conform.suite import Target
 
 
 @click.command()
--- a/weldhatch/pullqueue/book.py
+++ b/weldhatch/pullqueue/book.py
@@ -49,7 +49,13 @@
             self._lock.close()
             raise ConfigError(f"store: {fault}") from None
         self._say = say
-        self._committer = Committer(self._log, self.state.take, say)
+        self._committer = Committer(self._log, self.state.take, say, self._wrote)
+
+    def _wrote(self) -> None:
+        """Guards the disk against a gateway that runs for months: the log is cut down while it runs."""
+        if self._log.count > COMPACT_FACTOR * self.state.size + COMPACT_OVER and self._committer.idle:
+            self._say(f"store: {self._log.count} records are cut down to {self.state.size}")
+            self._committer.compact(list(self.state.records()))
 
     @property
     def epoch(self) -> str:
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -7,11 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import json
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from datetime import UTC, datetime
 
 from weldhatch import interface as i
@@ -24,103 +21,19 @@
 from weldhatch.pullqueue.faults import HttpError
 from weldhatch.pullqueue.http import Request
 from weldhatch.pullqueue.leases import Lease, Ledger, Phase
+from weldhatch.pullqueue.machines import Bot, Deaf, Passed, machine_of
 from weldhatch.pullqueue.operators import Operators
-from weldhatch.pullqueue.workers import NOTHING, Worker, read_worker
-from weldhatch.setups import Setup
+from weldhatch.pullqueue.reports import Listed, masked, read_listed, read_status
+from weldhatch.pullqueue.workers import Worker, read_worker
 from weldhatch.store.log import LogError
 
 REPLY_MOST = 48 * 1024  # what one answer hands out at the most; the rest waits for the next
 SWEEP_S = 0.05
-LEASES_MOST = 1000  # listed in one update
-RESULT_MOST = 8 * 1024  # of what a machine says its task has come to
-STATUSES = {
-    "OK": i.MachineState.READY,
-    "INITIALIZING": i.MachineState.DRAINING,
-    "UNHEALTHY": i.MachineState.DRAINING,
-    "HOST_REBOOTING": i.MachineState.DRAINING,
-    "BOT_TERMINATING": i.MachineState.DRAINING,
-    "MAINTENANCE": i.MachineState.DRAINING,
-}
-STATES = ("PENDING", "ACTIVE", "COMPLETED", "CANCELLED")
 # What a puller that declines a lease before it runs says of it, by google.rpc.Code: proof that nothing ran.
 DECLINED = {8: i.Reason.NOT_TOLD, 9: i.Reason.NOT_HERE}
 RAN_WELL = 0
 
 
-@dataclass(slots=True)
-class Listed:
-    """One lease as a puller lists it."""
-
-    id: str
-    state: str
-    code: int
-    message: str = ""
-    result: object = None
-
-
-@dataclass(slots=True)
-class Passed:
-    """What a submission passes on to its leases: the set-up, its description, and who hears of results."""
-
-    setup: Setup
-    blob: str
-    told: Callable[[object, str], None] = lambda result, message: None
-    records: Callable[[], tuple[bytes, ...]] = tuple  # what has to be on the disk before its first lease
-
-
-@dataclass(slots=True, eq=False)
-class Bot:
-    """A build machine, by its bot id. Sessions come and go; leases are the machine's."""
-
-    id: str
-    machine: int
-    cores: float
-    memory: float
-    hall: int
-    rack: int
-    session: str = ""
-    expires: float = 0.0
-    heard: float = 0.0
-    state: i.MachineState = i.MachineState.GONE
-    status: str = "OK"
-    worker: Worker = NOTHING
-    leases: dict[str, Lease] = field(default_factory=dict)
-    # those of them that are offered, and not handed out
-    waiting: dict[str, Lease] = field(default_factory=dict)
-    stopping: dict[str, Lease] = field(default_factory=dict)  # those that the puller has to stop
-    by_task: dict[int, Lease] = field(default_factory=dict)  # by the identity of their task
-    asked: tuple[float, float] = (0.0, 0.0)  # cores and memory of all leases
-    news: asyncio.Event = field(default_factory=asyncio.Event)
-    poll: int = 0  # the number of the last update; an older one that still waits is void
-    owner: str = ""  # the name in the token that opened the session, where tokens are asked for
-
-    def add(self, lease: Lease) -> None:
-        self.leases[lease.id] = self.by_task[id(lease.task)] = lease
-        self.asked = (self.asked[0] + lease.task.cores, self.asked[1] + lease.task.memory)
-        if lease.phase is Phase.WAITING:
-            self.waiting[lease.id] = lease
-
-    def remove(self, lease: Lease) -> None:
-        if self.leases.pop(lease.id, None) is not None:
-            self.by_task.pop(id(lease.task), None)
-            self.waiting.pop(lease.id, None)
-            self.stopping.pop(lease.id, None)
-            less = (self.asked[0] - lease.task.cores, self.asked[1] - lease.task.memory)
-            self.asked = less if self.leases else (0.0, 0.0)
-
-
-class _Deaf:
-    """Hears for a lease until its life is there."""
-
-    def tell(self, word: object) -> None:
-        pass
-
-
-def machine_of(bot_id: str) -> int:
-    """The module's number of a build machine: the same after each restart."""
-    return int.from_bytes(hashlib.blake2b(bot_id.encode(), digest_size=6).digest(), "big")
-
-
 class Bots:
     """All build machines of this gateway."""
 
@@ -167,7 +80,7 @@
             raise HttpError(403, "botId: a machine opens sessions under its own name only", "botId")
         worker = read_worker(tree.get("worker"), "worker")
         cores, memory, hall, rack = self._place(worker)
-        state, listed = self._status(tree), self._listed(tree)
+        state, listed = read_status(tree), read_listed(tree)
         self._check_epochs(one.id for one in listed)
         bot = self._bots.get(bot_id)
         if bot is None:
@@ -192,28 +105,14 @@
             raise HttpError(403, "name: the session of another machine", "name")
         tree = request.json()
         if mask := request.query.get("updateMask"):
-            tree = self._masked(tree, mask)
+            tree = masked(tree, mask)
         if tree.get("name", name) != name:
             raise HttpError(400, "name: not the session that is updated", "name")
         if tree.get("botId", bot.id) != bot.id:
             raise HttpError(400, "botId: not the one that opened the session", "botId")
         if tree.get("worker"):
             self._grown(bot, read_worker(tree["worker"], "worker"))
-        return await self._update(bot, self._status(tree), self._listed(tree), request)
-
-    @staticmethod
-    def _masked(tree: dict, mask: str) -> dict:
-        """Only the fields that the mask names count; what it names and the body lacks is empty."""
-        out = {key: tree[key] for key in ("name", "botId") if key in tree}
-        for path in mask.split(","):
-            name = path.strip()
-            if name not in ("status", "leases", "worker", "bot_id", "botId", "name"):
-                raise HttpError(
-                    400, f"updateMask: {name[:40]!r} is no field that can be updated", "updateMask"
-                )
-            if name in tree:
-                out[name] = tree[name]
-        return out
+        return await self._update(bot, read_status(tree), read_listed(tree), request)
 
     def _grown(self, bot: Bot, worker: Worker) -> None:
         """A machine may say anew what it is; its size and place are those of its session."""
@@ -545,7 +444,7 @@
             bot.machine,
             task,
             0,
-            _Deaf(),
+            Deaf(),
             Phase.ACTIVE if record.running else Phase.PENDING,
             left=True,
         )
@@ -634,50 +533,6 @@
             self._rack_names.append(name)
         return self._racks[name]
 
-    @staticmethod
-    def _status(tree: dict) -> i.MachineState:
-        status = tree.get("status", "OK")
-        if not isinstance(status, str) or status not in STATUSES:
-            raise HttpError(400, f"status: the unusable value {status!r}", "status")
-        return STATUSES[status]
-
-    @staticmethod
-    def _listed(tree: dict) -> list[Listed]:
-        entries = tree.get("leases") or []
-        if not isinstance(entries, list):
-            raise HttpError(400, "leases: a list is needed", "leases")
-        if len(entries) > LEASES_MOST:
-            raise HttpError(400, f"leases: at most {LEASES_MOST} are taken", "leases")
-        listed = []
-        for n, entry in enumerate(entries):
-            field = f"leases[{n}]"
-            if not isinstance(entry, dict) or not isinstance(entry.get("id"), str):
-                raise HttpError(400, f"{field}.id: a text is needed", f"{field}.id")
-            if entry.get("state") not in STATES:
-                raise HttpError(
-                    400, f"{field}.state: the unusable value {entry.get('state')!r}", f"{field}.state"
-                )
-            status = entry.get("status") or {}
-            code = status.get("code", 0) if isinstance(status, dict) else None
-            if not isinstance(code, int) or isinstance(code, bool):
-                raise HttpError(400, f"{field}.status.code: a whole number is needed", f"{field}.status.code")
-            message = status.get("message", "")
-            if not isinstance(message, str) or len(message) > 1000:
-                raise HttpError(
-                    400,
-                    f"{field}.status.message: a text of at most 1000 characters is needed",
-                    f"{field}.status.message",
-                )
-            result = entry.get("result")
-            if result is not None and (not isinstance(result, dict) or len(json.dumps(result)) > RESULT_MOST):
-                raise HttpError(
-                    400,
-                    f"{field}.result: an object of at most {RESULT_MOST} bytes is needed",
-                    f"{field}.result",
-                )
-            listed.append(Listed(entry["id"], entry["state"], code, message, result))
-        return listed
-
     def _name(self, kind: str) -> str:
         self._serial += 1
         return f"{kind}/{self._epoch}-{self._serial}"
--- a/weldhatch/pullqueue/operations.py
+++ b/weldhatch/pullqueue/operations.py
@@ -12,7 +12,8 @@
 
 from weldhatch.pullqueue.faults import HttpError
 from weldhatch.pullqueue.http import Events, Request
-from weldhatch.pullqueue.tasks import Submitted, Tasks
+from weldhatch.pullqueue.submitted import Submitted
+from weldhatch.pullqueue.tasks import Tasks
 
 PAGE_USUAL, PAGE_MOST = 100, 1000
 BATCH_MOST = 100
--- a/weldhatch/store/commit.py
+++ b/weldhatch/store/commit.py
@@ -19,8 +19,15 @@
     tell what has happened already, which are kept and written once the disk takes them again.
     """
 
-    def __init__(self, log: Log, written: Callable[[bytes], None], say: Callable[[str], None]) -> None:
-        """`written` hears each record once it is on the disk, in order; `say` logs a line."""
+    def __init__(
+        self,
+        log: Log,
+        written: Callable[[bytes], None],
+        say: Callable[[str], None],
+        wrote: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`written` hears each record once it is on the disk, in order, and `wrote` each batch; `say`
+        logs."""
         self._log, self._written, self._say = log, written, say
         self._loop = asyncio.get_running_loop()
         self._thread = ThreadPoolExecutor(1, "store")
@@ -29,6 +36,7 @@
         self._again: asyncio.TimerHandle | None = None
         self.full = ""  # why the disk takes nothing; '' while it does
         self.batches = self.records = 0
+        self._wrote = wrote
 
     def put(self, payloads: Iterable[bytes], must: bool = False) -> asyncio.Future:
         """Append; the future is done when all are on the disk, or fails with LogError where they may not be.
@@ -70,6 +78,7 @@
                 self._written(payload)
                 if done is not None and not done.done():
                     done.set_result(None)
+            self._wrote()
         else:
             if not self.full:
                 self._say(f"store: {fault}; new work is refused until it does")
@@ -94,6 +103,26 @@
             self._waiting.append((PROBE, None, True))
         self._pump()
 
+    def compact(self, payloads: list[bytes]) -> None:
+        """Put these in the place of the whole log, as `Log.rewrite` does; what is put meanwhile comes after.
+
+        Only where nothing is being written (`idle`): the payloads have to fold to what is on the disk.
+        """
+        self._busy = True
+        self._loop.run_in_executor(self._thread, self._log.rewrite, payloads).add_done_callback(
+            self._compacted
+        )
+
+    @property
+    def idle(self) -> bool:
+        return not self._busy
+
+    def _compacted(self, told: asyncio.Future) -> None:
+        self._busy = False
+        if not told.cancelled() and told.exception() is not None:
+            self._say(f"store: {told.exception()}")
+        self._pump()
+
     async def flush(self) -> None:
         """Wait until all that was put is on the disk, or the disk has refused it."""
         while (self._busy or self._waiting) and not self.full:
