Judge who can't be answered in time by a steady pace only

Change: the pace counts once there has been a queue for a second in a loop that does not lag; until then only those whose time is as good as up are told.

--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -20,6 +20,9 @@
     first = Ticket(0, 99 * SECOND, 0)
     assert gate.come(first, 0)[0] is Verdict.IN
     gate._rate, gate._took_us = rate, took
+    gate._steady_since = -10 * SECOND
+    gate.come(Ticket(0, 9999 * SECOND, 0), 0)  # somebody waits, and has for a while
+    gate._steady_since = -10 * SECOND
     return gate, first
 
 
@@ -81,14 +84,24 @@
 def test_when_the_pace_becomes_known_those_who_can_not_be_answered_in_time_hear_so():
     gate, _ = full(most=10_000, rate=0, took=0)
     tickets = [come(gate, 0, 2 * SECOND)[0] for _ in range(1000)]
-    assert gate.waiting == 1000 and gate.trim(0) == []
+    assert gate.waiting == 1001 and gate.trim(0) == []
     gate._rate, gate._took_us = 100.0, 10_000.0
     out = gate.trim(0)
-    assert out == tickets[-len(out):] and 830 < len(out) < 860 and gate.waiting == 1000 - len(out)
+    assert out == tickets[-len(out):] and 830 < len(out) < 860 and gate.waiting == 1001 - len(out)
     assert gate.trim(0) == []
     assert drain(gate, 1)[0] == tickets[:1]
 
 
+def test_a_crowd_is_not_turned_away_by_the_pace_of_the_moment_in_which_it_is_read():
+    gate, _ = full(most=10_000, rate=10)
+    gate.lag(500_000)
+    gate.trim(5 * SECOND)  # the loop lags: what was known of the pace is void
+    assert [come(gate, 0, 9 * SECOND, 5 * SECOND)[1] for _ in range(200)] == [Verdict.WAIT] * 200
+    gate.lag(0)
+    assert gate.trim(5 * SECOND + 500_000) == []
+    assert len(gate.trim(6 * SECOND)) > 150
+
+
 def test_a_full_queue_puts_out_the_last_of_whoever_has_most_of_it():
     gate, _ = full({0: 1.0, 1: 1.0}, most=4, rate=10_000)
     held = [come(gate, 0, (60 + n) * SECOND)[0] for n in range(4)]
--- a/weldhatch/pullqueue/shares.py
+++ b/weldhatch/pullqueue/shares.py
@@ -16,6 +16,7 @@
 
 INSIDE_LEAST, INSIDE_MOST = 24, 256
 LAG_HIGH_US, LAG_LOW_US = 60_000, 20_000  # lag of the loop above which less is let in, and below which more
+STEADY_US = 1_000_000
 LAG_COUNTED_US = 250_000  # of a long lag: the next turn is shorter
 SMOOTH = 0.05
 RESERVE = 1.25  # an answer is expected to take so many times what the last ones took
@@ -67,14 +68,24 @@
         self._rate = 0.0  # answers a second, smoothed
         self._last_leave = 0
         self._lag_us = 0.0
+        self._steady_since = 0
 
     def _lane(self, tenant: int) -> _Lane:
         return self._lanes.setdefault(tenant, _Lane(1.0))
 
     def expected_wait_us(self, ahead: int) -> float:
-        """How long so many ahead will take to be let in."""
+        """How long so many ahead will take to be let in, by the last second's pace."""
         return ahead / self._rate * 1e6 if self._rate > 0 else 0.0
 
+    def _pace_known(self, now: int) -> bool:
+        """Has there been a queue for a while, and a loop that did not lag?
+
+        Guards against turning a crowd away by the pace of the moment in which it is read: nothing else is
+        done
+        then, and what follows is much faster.
+        """
+        return self._rate > 0 and now - self._steady_since >= STEADY_US
+
     def come(self, ticket: Ticket, now: int) -> tuple[Verdict, int, Ticket | None]:
         """What becomes of one that comes: the verdict, for a refusal the time to stay away, and who is put
         out for it, if somebody is."""
@@ -90,8 +101,10 @@
             if lane.retries < 1:
                 return Verdict.REFUSED, self.advice_us(), None
             lane.retries -= 1
-        ahead = self._ahead(lane)
-        if now + (self.expected_wait_us(ahead) + self._took_us) * RESERVE > ticket.deadline:
+        if not self.waiting:
+            self._steady_since = now
+        wait = self.expected_wait_us(self._ahead(lane)) if self._pace_known(now) else 0.0
+        if now + (wait + self._took_us) * RESERVE > ticket.deadline:
             return Verdict.REFUSED, self.advice_us(), None
         put_out = None
         if self.waiting >= self._most:
@@ -174,13 +187,13 @@
     def trim(self, now: int) -> list[Ticket]:
         """Those who wait and, by the pace that is known now, will not be answered in time.
 
-        Guards against telling thousands at their deadline what is plain long before: when a crowd comes at
-        once, nothing is known of the pace yet, and all of it is let into the queue. While the loop lags, as
-        when a crowd is read, the pace is no measure of what comes after: only those whose time is as good as
-        up are told.
+        Guards against telling thousands at their deadline what is plain long before. Until the pace is known,
+        only those whose time is as good as up are told.
         """
-        lags = self._lag_us > LAG_HIGH_US
-        if not self.waiting or not (self._rate or lags):
+        if self._lag_us > LAG_HIGH_US:
+            self._steady_since = now
+        known = self._pace_known(now)
+        if not self.waiting:
             return []
         out: list[Ticket] = []
         active = sum(lane.weight for lane in self._lanes.values() if lane.waiting)
@@ -190,11 +203,9 @@
                 ticket = entry[2]
                 if ticket.gone:
                     continue
-                wait = (
-                    min(self._lag_us, LAG_COUNTED_US)
-                    if lags
-                    else self.expected_wait_us(int(ahead * active / lane.weight))
-                )
+                wait = min(self._lag_us, LAG_COUNTED_US)
+                if known:
+                    wait = self.expected_wait_us(int(ahead * active / lane.weight))
                 wait += self._took_us
                 if now + wait * RESERVE > ticket.deadline:
                     ticket.gone = True
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -80,9 +80,13 @@
         while True:
             before = time.monotonic()
             await asyncio.sleep(LAG_S)
-            self.gate.lag(max(0.0, time.monotonic() - before - LAG_S) * 1e6)
-            self._tell([], self.gate.trim(unix_us()))
-            self._let_in()
+            try:
+                self.gate.lag(max(0.0, time.monotonic() - before - LAG_S) * 1e6)
+                self._tell([], self.gate.trim(unix_us()))
+                self._let_in()
+            except Exception as fault:
+                # Guards those who wait at the gate: a fault of ours in one turn must not end all later ones.
+                self._log(f"the gate: {type(fault).__name__}: {fault}")
 
     # ---- submitting ----------------------------------------------------------------------------------------
 
