--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -275,6 +275,26 @@
             await api.call("GET", "operations")
         self.assertEqual(401, caught.exception.code)
 
+    async def test_one_caller_has_only_so_much_under_way_and_others_go_on(self):
+        self.gateway._quotas.most = 2
+        north, _ = self.token("ci", tokens.Role.SUBMITTER, "north")
+        south, _ = self.token("ci", tokens.Role.SUBMITTER, "south")
+        greedy, other = (Submitter(self.shown("ci", token=token)) for token in (north, south))
+        name = (await greedy.begin(Task("safe", key="a1", left_s=4.0))).name
+        waiting = [asyncio.ensure_future(greedy.wait(name, 20)) for _ in range(2)]
+        while self.gateway._quotas._under_way.total() < 2:
+            await asyncio.sleep(0.01)
+        with self.assertRaises(ApiError) as caught:
+            await greedy.get(name)
+        self.assertEqual((429, 1.0), (caught.exception.code, caught.exception.retry_s))
+        self.assertEqual([], [one async for one in other.list()])
+        for one in waiting:
+            one.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        while len(self.gateway._quotas):
+            await asyncio.sleep(0.01)
+        self.assertEqual(name, (await greedy.get(name)).name)
+
     async def test_certificates_and_keys_are_rotated_with_open_connections_kept(self):
         self.machine("b1", well, self.shown("b1"))
         earlier, _ = self.token("ci", tokens.Role.SUBMITTER, "north")
@@ -343,7 +363,7 @@
 @pytest.mark.parametrize(("told", "key"), [
     ({"tls": "maybe"}, "security.tls"), ({"tls": "server"}, "security.keys"),
     ({"colour": 1}, "security.colour"),
-    ({"tokens": "yes"}, "security.tokens")])
+    ({"tokens": "yes"}, "security.tokens"), ({"calls": 0}, "security.calls")])
 def test_security_that_can_not_be_used_names_its_key(told, key):
     with pytest.raises(config.ConfigError, match=key):
         config.pull_queue({"settings": SETTINGS, "security": told})
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -27,13 +27,9 @@
     "applying": {"planning", "nodes", "store"},
 }
 # Modules that hold decisions take clock and randomness as arguments, and do no I/O.
-PURE = (
-    "weldhatch.planning.",
-    "weldhatch.policy",
-    "weldhatch.state",
-    "weldhatch.interface",
-    "weldhatch.pullqueue.operators",
-)
+PURE = ("weldhatch.planning.", "weldhatch.policy", "weldhatch.state", "weldhatch.interface",
+        "weldhatch.keys.tokens", *(f"weldhatch.pullqueue.{name}" for name in (
+            "deadlines", "durable", "operators", "quotas", "reports", "shares", "workers")))
 IMPURE = {"time", "random", "socket", "asyncio", "os", "pathlib", "subprocess", "tempfile", "tornado", "http"}
 
 
--- a/weldhatch/cli/fleet.py
+++ b/weldhatch/cli/fleet.py
@@ -129,8 +129,8 @@
 @click.option("--out", metavar="PLAN", help="Where the plan goes (default: FILE.plan).")
 @click.option(
     "--way",
-    type=click.Choice(["cp-sat", "highs", "greedy"]),
-    default="cp-sat",
+    type=click.Choice(["highs", "cp-sat", "greedy"]),
+    default="highs",
     show_default=True,
     help="Who finds the waves.",
 )
@@ -309,7 +309,7 @@
 @click.argument("apply_id", metavar="[APPLY]", required=False)
 @fleet_option
 @click.option("--out", metavar="PLAN", help="Where the plan goes (default: undo-APPLY.plan).")
-@click.option("--way", type=click.Choice(["cp-sat", "highs", "greedy"]), default="cp-sat", show_default=True)
+@click.option("--way", type=click.Choice(["highs", "cp-sat", "greedy"]), default="highs", show_default=True)
 @json_option
 def undo(apply_id: str | None, fleet_path: str, out: str | None, way: str, as_json: bool) -> None:
     """Plan the way back from wherever an apply (the last one) stands; `apply` then carries it out."""
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -314,6 +314,7 @@
     keys: str  # the folder that `weldhatch keys` made
     tls: str  # '' for none, server, mutual
     tokens: bool
+    calls: int  # under way at a time, of one caller
 
 
 @dataclass(slots=True, frozen=True)
@@ -337,7 +338,7 @@
 PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "control": "", "ledger": "",
                  "states": "", "store": "", "queue": 5000, "idle": 60.0, "connections": 256,
                  "sockets": 1024, "remember": 100_000}
-SECURITY_DEFAULTS = {"keys": "", "tls": "off", "tokens": False}
+SECURITY_DEFAULTS = {"keys": "", "tls": "off", "tokens": False, "calls": 1000}
 TIMING_DEFAULTS = {"lease": 3.0, "grace": 0.5, "session": 15.0, "pickup": 1.0, "poll": 1.0, "settle": 3.5}
 
 
@@ -397,7 +398,11 @@
         raise ConfigError(f"security.tls has the unusable value {values['tls']!r}: off, server or mutual")
     if (values["tls"] != "off" or values["tokens"]) and not values["keys"]:
         raise ConfigError("security.keys is missing: the folder that `weldhatch keys init` made")
-    return SecurityFile(values["keys"], "" if values["tls"] == "off" else values["tls"], values["tokens"])
+    calls = values["calls"]
+    if isinstance(calls, bool) or not isinstance(calls, int) or not 1 <= calls <= 1_000_000:
+        raise ConfigError(f"security.calls has the unusable value {calls!r}: a whole number of at least 1")
+    tls = "" if values["tls"] == "off" else values["tls"]
+    return SecurityFile(values["keys"], tls, values["tokens"], calls)
 
 
 def _span(key: str, value: object, least: float) -> float:
--- a/weldhatch/planning/linear.py
+++ b/weldhatch/planning/linear.py
@@ -73,8 +73,8 @@
 
 
 def highs(program: Program, effort: float, hint: Sequence[int] | None = None) -> Found:
-    """HiGHS by scipy. It takes no hint; `effort` is in seconds of the wall, so a slow machine may find
-    less."""
+    """HiGHS by scipy. It takes no hint; `effort` bounds the nodes that it looks at, so that the same program
+    has the same answer, and, at four times as much, the seconds."""
     import numpy
     from scipy.optimize import Bounds, LinearConstraint, milp
     from scipy.sparse import csr_matrix
@@ -97,7 +97,7 @@
         integrality=numpy.ones(count),
         bounds=Bounds(low, high),
         constraints=LinearConstraint(matrix, lows, tops) if program.rows else (),
-        options={"time_limit": effort, "mip_rel_gap": 0.0},
+        options={"time_limit": 4 * effort, "node_limit": int(2000 * effort), "mip_rel_gap": 0.0},
     )
     if told.x is None:
         return Found(None, told.status == 2)
--- a/weldhatch/planning/search.py
+++ b/weldhatch/planning/search.py
@@ -17,8 +17,8 @@
 from weldhatch.planning.model import Model
 
 WAVES_MOST = 24  # where greedy finds nothing, a solver looks no further than this
-EFFORT = 4.0  # of one call of a solver, on a small model
-VARIABLES = 200  # a model with more of them gets less in proportion
+EFFORT = 2.0  # of one call of a solver, on a small model
+VARIABLES = 150  # a model with more of them gets less in proportion
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,7 +32,7 @@
     seconds: float  # by the fleet's pace
 
 
-def search(change: Change, fleet: Fleet, way: str = "cp-sat", effort: float = EFFORT) -> Search:
+def search(change: Change, fleet: Fleet, way: str = "highs", effort: float = EFFORT) -> Search:
     """The best waves. Raises Unplannable with the smallest set of statements that exclude each other.
 
     `way` is a solver's name or `greedy`. A solver's waves are checked by `check.breaks` and taken only where
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -23,6 +23,7 @@
 from weldhatch.pullqueue.leases import Ledger
 from weldhatch.pullqueue.operations import Operations
 from weldhatch.pullqueue.operators import Operators, Word
+from weldhatch.pullqueue.quotas import Quotas
 from weldhatch.pullqueue.security import Security
 from weldhatch.pullqueue.tasks import Tasks
 from weldhatch.store.log import Log
@@ -65,6 +66,7 @@
         self._links: dict[Connection, HttpLink] = {}
         self._serving: set[asyncio.Task] = set()
         self.security = Security(told.security)
+        self._quotas = Quotas(told.security.calls)
         self.listener = Listener(told.listen, self._share, self._taken)
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
@@ -136,8 +138,22 @@
             raise HttpError(404, f"path: it begins with {PREFIX}", "path")
         head, _, rest = path.partition("/")
         name, colon, verb = rest.partition(":")
-        if self.security.asks:
-            request.who = self.security.who(request, head.partition(":")[0])
+        if not self.security.asks:
+            return await self._called(request, path, head, rest, name, colon, verb)
+        request.who = self.security.who(request, head.partition(":")[0])
+        caller = f"{request.who.role} {request.who.tenant} {request.who.name}"
+        if not self._quotas.take(caller):
+            raise HttpError(
+                429, f"more than {self._quotas.most} calls of one caller at a time", "authorization", 1.0
+            )
+        try:
+            return await self._called(request, path, head, rest, name, colon, verb)
+        finally:
+            self._quotas.give_back(caller)
+
+    async def _called(
+        self, request: Request, path: str, head: str, rest: str, name: str, colon: str, verb: str
+    ) -> tuple[dict, dict[str, str]] | Events:
         match request.method, head, bool(rest), verb:
             case "POST", "botSessions", False, _:
                 return await self.bots.create(request), {}
