Send assignments with leases, inline where a machine asks for it

Need: machines of the API's earlier form read inlineAssignment, and the name of a lease's task was nowhere in it.

--- a/weldhatch/conform/checks.py
+++ b/weldhatch/conform/checks.py
@@ -189,6 +189,17 @@
     await b.fault(400, "leases[0].result", "PATCH", b.session, large)
 
 
+@holds("3.10")
+async def assignments_come_by_name_and_inline_where_asked_for(b: Bench) -> None:
+    for configs in ([], [{"key": "inlineAssignment", "value": "yes"}]):
+        await b.open(configs=configs)
+        answer = b.later(b.submit(b.task()))
+        lease = await b.lease()
+        await b.update((lease["id"], "COMPLETED"))
+        expect(lease["assignment"] == (await answer)["name"], lease)
+        expect(lease.get("inlineAssignment") == (lease["payload"] if configs else None), lease)
+
+
 @holds("3.5")
 async def unknown_leases_are_cancelled_and_block(b: Bench) -> None:
     said = await b.open([{"id": "leases/none", "state": "ACTIVE"}])
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -32,6 +32,7 @@
 # What a puller that declines a lease before it runs says of it, by google.rpc.Code: proof that nothing ran.
 DECLINED = {8: i.Reason.NOT_TOLD, 9: i.Reason.NOT_HERE}
 RAN_WELL = 0
+INLINE = ("inlineAssignment", "yes")  # a worker's config
 
 
 class Bots:
@@ -242,11 +243,7 @@
             raise HttpError(409, "name: a later update of this machine has come", "name")
         for lease in out:
             lease.left = True
-        return [
-            {**self._shown(lease), "payload": self._payload(lease)}
-            for lease in out
-            if lease.phase in (Phase.PENDING, Phase.CANCELLED)
-        ]
+        return [self._given(bot, lease) for lease in out if lease.phase in (Phase.PENDING, Phase.CANCELLED)]
 
     def _extend(self, lease: Lease) -> None:
         """It may run for a lease's time from now, and counts as out for the grace after that."""
@@ -256,6 +253,12 @@
     def _shown(self, lease: Lease) -> dict:
         return {"id": lease.id, "state": lease.phase.value, "expireTime": _rfc3339(lease.expires)}
 
+    def _given(self, bot: Bot, lease: Lease) -> dict:
+        """A lease as it is handed out; machines of the API's earlier form have the payload inline as well."""
+        payload = self._payload(lease)
+        given = {**self._shown(lease), "assignment": lease.task.label, "payload": payload}
+        return {**given, "inlineAssignment": payload} if INLINE in bot.worker.configs else given
+
     def _payload(self, lease: Lease) -> dict:
         setup, blob = lease.task.passed_on.setup, lease.task.passed_on.blob
         return {
