Free a lease and its key where it was written and its update ended first

Cause: while a hand-out waits for the disk, its connection may end or a later update come. The lease then went back to waiting with its key still out and spent, or, where the connection ended, stayed out to its expiry though it had never left; the record "back" was described and never written.

Change: one place takes such leases back, frees their keys and writes "back". Counters and a flag that nothing read are gone.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -210,6 +210,39 @@
         [later] = [one.expires for one in self.gateway.bots.leases_out()]
         self.assertGreater(later, first)
 
+    async def test_a_lease_that_was_written_and_did_not_leave_keeps_no_key(self):
+        """Its machine goes away while the disk is waited for, and its submitter then gives it up."""
+        kept, written = self.gateway.book.may, asyncio.Event()
+
+        def slow(*records):
+            done = asyncio.get_running_loop().create_future()
+
+            async def later():
+                await kept(*records)
+                written.set()
+                await self.parties["p1"].closed.wait()
+                await self.until(
+                    lambda: not self.gateway._links or len(self.gateway._links) == 1, "p1 has gone"
+                )
+                done.set_result(None)
+
+            self.job = asyncio.ensure_future(later())
+            return done
+
+        await self.play(f"p1 send POST botSessions | {bot('b1')}\np1 expect 200")
+        await self.play("p1 send PATCH $session X-Server-Timeout=9 | {}")
+        self.gateway.book.may = slow
+        await self.play(f"c1 send POST tasks | {task('unsafe')}")
+        await asyncio.wait_for(written.wait(), 20)
+        await self.play("p1 close\np1 wait closed")
+        await self.until(lambda: self.job.done(), "the disk has answered")
+        await self.play("c1 close")
+        await self.until(lambda: not self.gateway.core.lives, "the task was given up")
+        self.gateway.book.may = kept
+        await self.gateway.book.flush()
+        assert not self.gateway._ledger._out and not self.gateway._ledger._spent
+        assert not self.gateway.book.state.leases
+
 
 class Stores(Kept):
     async def test_an_older_copy_of_the_store_gives_nothing_out(self):
--- a/weldhatch/pullqueue/book.py
+++ b/weldhatch/pullqueue/book.py
@@ -66,11 +66,6 @@
         """Why nothing new can be taken; '' while the disk takes records."""
         return self._committer.full
 
-    @property
-    def figures(self) -> tuple[int, int]:
-        """Batches and records written."""
-        return self._committer.batches, self._committer.records
-
     def may(self, *records: bytes) -> asyncio.Future:
         """What is about to happen: done once it is on the disk, LogError if it may not."""
         return self._committer.put(records)
@@ -92,7 +87,6 @@
 
     full = ""
     fresh = True
-    figures = (0, 0)
 
     def __init__(self, now_ns: int) -> None:
         self.state = Durable()
--- a/weldhatch/pullqueue/bots.py
+++ b/weldhatch/pullqueue/bots.py
@@ -231,20 +231,33 @@
                     self._ledger.taken_back(lease, lease.id in spent)
                     self._end(lease, i.Outcome.NOT_SENT)
             return []
+        except asyncio.CancelledError:  # the connection of this update has ended meanwhile
+            self._wait_again(bot, out, spent)
+            raise
         if bot.session != session or bot.poll != poll or request.closed():
-            # Guards against a lease that is lost with an update that its machine has given up.
-            for lease in out:
-                if lease.phase is Phase.PENDING:
-                    lease.phase = Phase.WAITING
-                    lease.expires = time.time() + self.timing.pickup
-                    self._due.set(("lease", lease.id), lease.expires)
-                    bot.waiting[lease.id] = lease
-            bot.news.set()
+            self._wait_again(bot, out, spent)
             raise HttpError(409, "name: a later update of this machine has come", "name")
-        for lease in out:
-            lease.left = True
         return [self._given(bot, lease) for lease in out if lease.phase in (Phase.PENDING, Phase.CANCELLED)]
 
+    def _wait_again(self, bot: Bot, leases: list[Lease], spent: set[str]) -> None:
+        """Leases that were written and have not left: offered still, their keys neither out nor spent.
+
+        Guards against a lease that is lost with an update that its machine has given up, and against a key
+        that stays taken where the offer is withdrawn then.
+        """
+        for lease in leases:
+            if lease.phase in (Phase.PENDING, Phase.CANCELLED):
+                self._ledger.taken_back(lease, lease.id in spent)
+                self._book.must(durable.encode("back", lease.id))
+                if lease.phase is Phase.CANCELLED:
+                    self._end(lease, i.Outcome.NOT_SENT, cause=ports.CALLED_OFF)
+                    continue
+                lease.phase = Phase.WAITING
+                lease.expires = time.time() + self.timing.pickup
+                self._due.set(("lease", lease.id), lease.expires)
+                bot.waiting[lease.id] = lease
+        bot.news.set()
+
     def _extend(self, lease: Lease) -> None:
         """It may run for a lease's time from now, and counts as out for the grace after that."""
         lease.expires = time.time() + self.timing.lease
@@ -449,7 +462,6 @@
             0,
             Deaf(),
             Phase.ACTIVE if record.running else Phase.PENDING,
-            left=True,
         )
         self._leases[lease.id] = lease
         bot.add(lease)
--- a/weldhatch/pullqueue/leases.py
+++ b/weldhatch/pullqueue/leases.py
@@ -33,7 +33,6 @@
     teller: ports.Teller
     phase: Phase = Phase.WAITING
     expires: float = 0.0  # Unix seconds
-    left: bool = False  # an answer with it was sent: until then it may be taken back
 
 
 class Refusal(Enum):
--- a/weldhatch/store/commit.py
+++ b/weldhatch/store/commit.py
@@ -35,7 +35,6 @@
         self._busy = self._closed = False
         self._again: asyncio.TimerHandle | None = None
         self.full = ""  # why the disk takes nothing; '' while it does
-        self.batches = self.records = 0
         self._wrote = wrote
 
     def put(self, payloads: Iterable[bytes], must: bool = False) -> asyncio.Future:
@@ -73,7 +72,6 @@
             if self.full:
                 self._say("store: the disk takes records again")
             self.full = ""
-            self.batches, self.records = self.batches + 1, self.records + len(batch)
             for payload, done, _ in batch:
                 self._written(payload)
                 if done is not None and not done.done():
