Rank a service's machines once a list version, not the whole fleet a request

Change: _homes keeps, per service and list version, the first 16 machines by rank (heapq.nsmallest, the same order as the sort) in a map of at most 1,024 services; the whole fleet is sorted only where fewer than two of those are eligible. Request.ranked goes. Two tests: a second request of a service ranks nothing anew (fails on the old module), and homes follow the whole order where the first 16 are all draining (fails without the fallback).

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,8 @@
 import pytest
 from conftest import SECOND, Driver, machines, make_class, make_settings, of
 
-from weldhatch.policy import ABSENT, FAULTS, HOME, STARTING, _rank
+import weldhatch.policy as module
+from weldhatch.policy import ABSENT, FAULTS, HOME, RANKED, STARTING, _rank
 from weldhatch import (
     AttemptEnded,
     Cancel,
@@ -146,6 +147,39 @@
     assert len(spread) > 10
 
 
+def test_a_service_is_ranked_once_a_list_and_not_for_every_request(monkeypatch):
+    # Each machine worked out is processor time: at 400 servers a sort a request was most of a request's CPU.
+    driver = Driver(make_settings(), machines(200))
+    calls = []
+
+    def counted(service, machine):
+        calls.append(machine)
+        return _rank(service, machine)
+
+    monkeypatch.setattr(module, "_rank", counted)
+    homes = {driver.place(service=9)[0].machine}
+    first = len(calls)
+    for _ in range(4):
+        homes.add(driver.place(service=9)[0].machine)
+    assert first <= 200 and len(calls) == first  # the later requests rank nothing anew
+    driver.send(MachinesChanged(ListForm.DELTA, (Machine(201, cell=50),)))
+    driver.place(service=9)
+    assert len(calls) > first  # a new machine may rank first: the service is ranked again
+
+
+def test_homes_follow_the_whole_order_where_the_first_ranked_are_all_left_out():
+    fleet = machines(RANKED + 8)
+    order = sorted(fleet, key=lambda m: _rank(3, m.id))
+    draining = {m.id for m in order[: RANKED + 1]}
+    driver = Driver(make_settings(), fleet)
+    driver.place(service=3)  # ranks the service on this list
+    driver.send(MachinesChanged(ListForm.DELTA, tuple(
+        Machine(m.id, cell=m.cell, state=MachineState.DRAINING) for m in order if m.id in draining)))
+    driver.arrive(service=3)
+    request = driver.policy._requests[driver.requests]
+    assert [n.entry.id for n in request.homes] == [m.id for m in order if m.id not in draining][:2]
+
+
 def test_a_crowded_machine_is_drawn_after_a_calm_one():
     driver = Driver(make_settings(classes=(make_class(calm=0.8),), by_service=True), machines(2))
     [offer] = of(driver.answer(driver.arrive(), {1: (1.0, 60.0, 0.95), 2: (9.0, 20.0, 0.3)}), Offer)
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 from itertools import islice
 
@@ -46,6 +47,7 @@
 SERVED, TIGHT = 0.9, 0.92  # a task served less, or memory fuller, than this: the machine is crowded
 USE = 0.7  # the part of what tasks ask that they use, until notes tell
 MASK = (1 << 64) - 1  # ranks are hashed in 64 bits
+RANKED, SERVICES = 16, 1024  # the first machines by rank kept for a service, and for how many services
 PROOF = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # outcomes that prove that nothing ran
 
 
@@ -59,6 +61,7 @@
         self._requests: dict[int, Request] = {}
         self._held = Holdings(KEPT)
         self._timers: dict[int, tuple] = {}
+        self._ranks: dict[int, tuple[int, list[Node]]] = {}  # service: list version, first machines by rank
         self._last_timer = self._listed = 0  # the list's version here
         self._early = EARLY_US + 2 * settings.tick_us
         self._cold_share, self._turns = int(settings.cold_sends / max(1, settings.group_size)), 1
@@ -211,10 +214,7 @@
             return
         first = dict.fromkeys(self._held.at(r.service))  # machines with the program, then the homes
         if not self._s.by_service:  # else no other allocator has tasks of the service
-            if r.ranked_at != self._listed:
-                r.ranked = sorted(self._nodes.values(), key=lambda n: _rank(r.service, n.entry.id))
-                r.ranked_at = self._listed
-            r.homes = list(islice((n for n in r.ranked if self._eligible(r, n, False)), HOMES))
+            r.homes = self._homes(r)
             first |= dict.fromkeys(r.homes)
         found = [n for n in first if self._eligible(r, n, False)]
         good = sum(self._tier(r, n) <= HOME for n in found)
@@ -241,6 +241,24 @@
                     self._probe(n)
             self._after(PATIENCE * r.cls.aim_us, self._choose, r, r.turn)
 
+    def _homes(self, r: Request) -> list[Node]:
+        """The first HOMES eligible machines in the service's rendezvous order, as a full sort would give.
+
+        Guards the cost per request: only the first RANKED by rank are worked out once a list version, and
+        the whole fleet is sorted only where too few of those are eligible.
+        """
+        listed, first = self._ranks.pop(r.service, (-1, []))
+        if listed != self._listed:
+            first = heapq.nsmallest(RANKED, self._nodes.values(), key=lambda n: _rank(r.service, n.entry.id))
+        self._ranks[r.service] = (self._listed, first)
+        if len(self._ranks) > SERVICES:  # the least lately drawn service is forgotten
+            del self._ranks[next(iter(self._ranks))]
+        homes = list(islice((n for n in first if self._eligible(r, n, False)), HOMES))
+        if len(homes) < HOMES and len(first) < len(self._nodes):
+            ranked = sorted(self._nodes.values(), key=lambda n: _rank(r.service, n.entry.id))
+            homes = list(islice((n for n in ranked if self._eligible(r, n, False)), HOMES))
+        return homes
+
     def _choose(self, r: Request, turn: int) -> None:
         if turn != r.turn or r.answered or r.open is not None:
             return
--- a/weldhatch/state.py
+++ b/weldhatch/state.py
@@ -87,8 +87,6 @@
         self.refused = 0  # for want of room
         self.errors: list[Node] = []  # machines that answered with an error
         self.answered, self.holds, self.turn = False, 0, 0  # a timer of an older turn is void
-        self.ranked: list[Node] = []  # machines by rank for its service, as of the list's version
-        self.ranked_at = -1
         self.homes: list[Node] = []  # the first of them that are eligible
         self.drawn: list[int] = []
         self.waiting: set[int] = set()  # drawn machines whose probe is not back
