--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -98,16 +98,22 @@
         )
 
     def answer(self, actions, reports=None):
-        """Answer every probe among the actions; `reports` maps a machine to its report."""
-        out = []
-        for action in of(actions, Probe):
-            report = (reports or {}).get(action.machine, (16.0, 32.0, 0.5))
-            out += self.send(ProbeAnswered(action.machine, Outcome.OK, 500, report))
+        """Answer every probe among the actions, and those that the answers bring; `reports` maps a machine
+        to its report."""
+        out, asked = [], of(actions, Probe)
+        for _ in range(4):  # a draw again after probes: at most once a request
+            brought = []
+            for action in asked:
+                report = (reports or {}).get(action.machine, (16.0, 32.0, 0.5))
+                brought += self.send(ProbeAnswered(action.machine, Outcome.OK, 500, report))
+            out += brought
+            asked = of(brought, Probe)
         return out
 
     def place(self, **request):
-        """Take a request as far as its first offer, probes answered."""
-        return of(self.answer(self.arrive(**request)), Offer)
+        """Take a request as far as its first offer, probes answered; machines heard lately are not probed."""
+        actions = self.arrive(**request)
+        return of(actions + self.answer(actions), Offer)
 
 
 def of(actions, kind):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,7 +6,7 @@
 from conftest import SECOND, Driver, machines, make_class, make_settings, of
 
 import weldhatch.policy as module
-from weldhatch.policy import ABSENT, FAULTS, HOME, RANKED, STARTING, _rank
+from weldhatch.policy import ABSENT, FAULTS, HOME, RANKED, STALE_US, STARTING, _rank
 from weldhatch import (
     AttemptEnded,
     Cancel,
@@ -59,6 +59,29 @@
     assert len(seen) == 6
 
 
+def test_a_machine_heard_lately_is_not_probed_again_and_one_heard_long_ago_is():
+    # Probes are priced, and with sixteen allocators they were the largest loss of a calm day.
+    driver = Driver(make_settings(), machines(2))
+    [offer] = driver.place(service=4)  # both probed and answered
+    driver.send(Placed(1, 0, offer.machine, 1000))
+    driver.wait(STALE_US // 2)
+    again = driver.arrive(service=4)
+    assert not of(again, Probe) and len(of(again, Offer)) == 1  # the reports just heard tell the room
+    driver.send(Placed(2, 0, of(again, Offer)[0].machine, 1000))
+    driver.wait(STALE_US)
+    late = driver.arrive(service=4)
+    assert len(of(late, Probe)) == 2 and not of(late, Offer)
+
+
+def test_only_the_drawn_machine_not_heard_lately_is_probed():
+    driver = Driver(make_settings(), machines(2))
+    [first] = driver.place(service=4)
+    driver.wait(STALE_US + 1)
+    driver.send(ProbeAnswered(first.machine, Outcome.OK, 500, (16.0, 32.0, 0.5)))  # heard again, alone
+    [probe] = of(driver.arrive(service=4), Probe)
+    assert probe.machine != first.machine
+
+
 def test_a_late_probe_gives_way_to_the_ledger(driver):
     probes = of(driver.arrive(), Probe)
     assert not of(driver.log, Offer)
@@ -194,6 +217,7 @@
     driver.send(Placed(1, 0, 1, 1000), Note(1, 0, 1, Topic.RUNS, 0.0))
     driver.send(MachinesChanged(ListForm.DELTA, tuple(machines(5))))
     driver.send(TaskAdopted(1000, 0, 1, 1.0, 2.0, 5))  # a second machine with the program
+    driver.wait(STALE_US)  # the first, roomy report of machine 1 is too old to spare it a probe
     chosen = []
     for _ in range(30):
         driver.wait(SECOND // 10)
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -229,17 +229,22 @@
         self._random.shuffle(found)
         drawn = sorted(found, key=lambda n: self._tier(r, n))[:DRAWN]
         r.drawn, r.waiting, r.turn = [n.entry.id for n in drawn], set(), r.turn + 1
+        r.hoped = max((self._tier(r, n) for n in drawn), default=0)
         if not drawn:
             self._blocked(r)
         elif not self._s.may_probe or not self._s.report_fields:
             self._choose(r, r.turn)
-        else:
-            r.waiting = set(r.drawn)
-            for n in drawn:
+        else:  # a report heard lately tells what a probe would: sixteen allocators' probes are priced
+            unheard = [n for n in drawn if self._now - self._room(n).heard > STALE_US]
+            r.waiting = {n.entry.id for n in unheard}
+            for n in unheard:
                 n.waiters[r.id] = None
                 if not n.probes:  # one probe serves all that wait for it
                     self._probe(n)
-            self._after(PATIENCE * r.cls.aim_us, self._choose, r, r.turn)
+            if unheard:
+                self._after(PATIENCE * r.cls.aim_us, self._choose, r, r.turn)
+            else:
+                self._choose(r, r.turn)
 
     def _homes(self, r: Request) -> list[Node]:
         """The first HOMES eligible machines in the service's rendezvous order, as a full sort would give.
@@ -269,7 +274,10 @@
         self._random.shuffle(ready)
         best = min(ready, default=None, key=lambda n: (self._tier(r, n), n.entry.id in r.waiting,
                                                        -self._free_memory(n)))
-        if best is None or not self._offer(r, best):
+        if best is not None and not r.redrawn and self._tier(r, best) > max(r.hoped, HOME):
+            r.redrawn = True  # probes told worse than the draw knew: it stopped looking too soon
+            self._draw(r, r.turn)
+        elif best is None or not self._offer(r, best):
             self._blocked(r)
 
     def _offer(self, r: Request, n: Node) -> bool:
@@ -462,11 +470,13 @@
     def _hear(self, n: Node, report: tuple[float, ...]) -> None:
         values = dict(zip(self._s.report_fields, report, strict=False))
         if "x0" in values and "x1" in values:
-            room = n.asked if self._s.reports_asked else n.used
-            room.hear(self._now, REPORT_LAG_US, values["x0"], values["x1"], n)
+            self._room(n).hear(self._now, REPORT_LAG_US, values["x0"], values["x1"], n)
         if "cpu" in values:
             n.util, n.util_own, n.util_at = values["cpu"], n.running[0] + n.offered[0], self._now
 
+    def _room(self, n: Node):  # what the machine's reports tell
+        return n.asked if self._s.reports_asked else n.used
+
     # ---- discovery --------------------------------------------------------------------------------------
 
     def _machines_changed(self, e: MachinesChanged) -> None:
--- a/weldhatch/state.py
+++ b/weldhatch/state.py
@@ -89,6 +89,7 @@
         self.answered, self.holds, self.turn = False, 0, 0  # a timer of an older turn is void
         self.homes: list[Node] = []  # the first of them that are eligible
         self.drawn: list[int] = []
+        self.hoped, self.redrawn = 0, False  # the worst tier drawn, as known then; drawn again once for that
         self.waiting: set[int] = set()  # drawn machines whose probe is not back
 
 
