Give _homes one rank key and one walk for the first eligible machines

The prefix by rank and the fallback sort each wrote out the same rank lambda and the same islice over eligible machines; both are now one local function each.

--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -252,16 +252,21 @@
         Guards the cost per request: only the first RANKED by rank are worked out once a list version, and
         the whole fleet is sorted only where too few of those are eligible.
         """
+        def rank(n: Node) -> int:
+            return _rank(r.service, n.entry.id)
+
+        def eligible(ranked: list[Node]) -> list[Node]:
+            return list(islice((n for n in ranked if self._eligible(r, n, False)), HOMES))
+
         listed, first = self._ranks.pop(r.service, (-1, []))
         if listed != self._listed:
-            first = heapq.nsmallest(RANKED, self._nodes.values(), key=lambda n: _rank(r.service, n.entry.id))
+            first = heapq.nsmallest(RANKED, self._nodes.values(), key=rank)
         self._ranks[r.service] = (self._listed, first)
         if len(self._ranks) > SERVICES:  # the least lately drawn service is forgotten
             del self._ranks[next(iter(self._ranks))]
-        homes = list(islice((n for n in first if self._eligible(r, n, False)), HOMES))
+        homes = eligible(first)
         if len(homes) < HOMES and len(first) < len(self._nodes):
-            ranked = sorted(self._nodes.values(), key=lambda n: _rank(r.service, n.entry.id))
-            homes = list(islice((n for n in ranked if self._eligible(r, n, False)), HOMES))
+            homes = eligible(sorted(self._nodes.values(), key=rank))
         return homes
 
     def _choose(self, r: Request, turn: int) -> None:
