Let the module decide what it was told before the deadline answers in its place

Checked: a process held up from before the deadline to 20 ms after it finds TimeUp and Overdue in one turn of the loop; life.py answered Overdue at once, before the module had seen the attempt's end. Ruled out: the store (its refusal was logged in time) and the module (it refuses on that outcome).

Change: the first Overdue waits until what was posted is decided (Driver.settled), and only the second one answers for the module.

--- a/weldhatch/core/driver.py
+++ b/weldhatch/core/driver.py
@@ -37,14 +37,14 @@
     def forget(self, request: int) -> None:
         self._lives.pop(request, None)
 
-    def post(self, event: i.Event) -> None:
+    def post(self, *events: i.Event) -> None:
         if not self._inbox:
             self._loop.call_soon(self._run)
-        self._inbox.append(event)
+        self._inbox += events
 
-    def settled(self, event: i.Event) -> asyncio.Future:
-        """Post the event; done once its batch has been decided and its actions have been routed."""
-        self.post(event)
+    def settled(self, *events: i.Event) -> asyncio.Future:
+        """Post the events; done once all posted so far is decided and its actions have been routed."""
+        self.post(*events)
         done = self._loop.create_future()
         self._waiting.append(done)
         return done
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -100,6 +100,7 @@
             task.key, task.tenant, None, task.again, task.only))
         left = max(0, task.deadline_us - unix_us()) + OVERDUE_US
         overdue = self._loop.call_later(left / 1e6, self.tell, Overdue())
+        heard_out = False
         try:
             while True:
                 match await self._next():
@@ -115,6 +116,12 @@
                         self._answered = True
                         self._owner.failed()
                         return None
+                    case Overdue() if not heard_out:
+                        # Guards against a process that was held up past the deadline: what the module was
+                        # told in the same moment it decides first, so proof that nothing ran still counts.
+                        heard_out = True
+                        await self._driver.settled()
+                        self.tell(Overdue())
                     case Overdue():
                         # Guards against a module that never decides: the owner is owed an answer in time.
                         self._core.log(f"request {self.id}: no decision by the deadline")
