Test quiet servers after 4 s, sooner near vanished ones, and pass their reports on

A counter in the dispatchers said why: each sent 1374 probes for the module in 25 s and 3202 tests of its own, one to every server with a task of ours that was quiet for 1.5 s (Link.watch, QUIET_S in platform/servers.py). A test is a probe on the wire. Ruled out: the module's probes alone, and retries (1.0 attempts a request).

Change: a module without I/O, platform/vigil.py, says how long a server may be quiet: 4 s, so that what follows an unanswered test ends within the 8 s that the protocol leaves for lost tasks; 1 s in a rack, or a hall, where servers vanished in the last 6 s. A test asks for the report where probes are allowed, and the module hears it.

Tests cover the rule's bounds and alarms, a quiet server left alone until a neighbour vanishes, and the report's way; the last two fail without the change.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,7 +28,7 @@
 }
 # Modules that hold decisions take clock and randomness as arguments, and do no I/O.
 PURE = ("weldhatch.planning.", "weldhatch.policy", "weldhatch.state", "weldhatch.interface",
-        "weldhatch.keys.tokens", *(f"weldhatch.pullqueue.{name}" for name in (
+        "weldhatch.keys.tokens", "weldhatch.platform.vigil", *(f"weldhatch.pullqueue.{name}" for name in (
             "deadlines", "durable", "operators", "quotas", "reports", "shares", "workers")))
 IMPURE = {"time", "random", "socket", "asyncio", "os", "pathlib", "subprocess", "tempfile", "tornado", "http"}
 
--- a/weldhatch/interface.py
+++ b/weldhatch/interface.py
@@ -266,7 +266,10 @@
 
 @dataclass(slots=True, frozen=True)
 class ProbeAnswered:
-    """The result of one probe; the report holds the values of `Settings.report_fields`, or nothing."""
+    """The result of one probe; the report holds the values of `Settings.report_fields`, or nothing.
+
+    A report that a machine gave when the module asked for none comes as this too.
+    """
 
     machine: int
     outcome: Outcome
--- a/weldhatch/platform/fleet.py
+++ b/weldhatch/platform/fleet.py
@@ -20,6 +20,8 @@
     endpoint: tuple[str, int]
     state: i.MachineState
     boot_ms: int
+    zone: int = 0
+    cell: int = 0
 
 
 def number_of(uid: str) -> int:
@@ -79,4 +81,4 @@
             self._log(f"event bus: {uid} is in an unknown zone or of an unknown kind")
         machine = i.Machine(number, zone, kind, cell, state, boot * 1000,
                             weight=float(target.get("capacity_hint") or 1))
-        return Server(number, uid, (host, int(port)), state, boot), machine
+        return Server(number, uid, (host, int(port)), state, boot, zone, cell), machine
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -14,8 +14,8 @@
 from weldhatch.net.connection import Connection, Malformed, connect
 from weldhatch.platform import binary as b
 from weldhatch.platform.fleet import Server
+from weldhatch.platform.vigil import ALARM_S, Vigil
 
-QUIET_S = 1.5  # a server with tasks of ours that says nothing for so long is sent a test
 SILENT_S = 0.5  # one that leaves a message unanswered, and says nothing, for so long is tried
 WATCH_S = 0.1
 HALF_S = 0.4  # one that stops within a message for so long has lost its step
@@ -100,6 +100,8 @@
                     self._never_up()
                     refused = isinstance(error, ConnectionError)
                     if self.standing and (refused or tries >= LOST_TRIES):
+                        if not refused:
+                            self._servers.vanished(self.server)
                         self.lose("refuses connections" if refused else "is silent")
                 else:
                     tries = 0
@@ -188,7 +190,8 @@
                 self._trial = asyncio.get_running_loop().create_task(self._try(up))
             return
         self._excuses = 0
-        if self.standing and now - up.heard > QUIET_S:
+        quiet = now - up.heard
+        if quiet > ALARM_S and self.standing and quiet > self._servers.patience(self.server, now):
             self._servers.test(self)
 
     async def _try(self, up: Connection) -> None:
@@ -223,6 +226,7 @@
                 self._asked = time.monotonic()
                 return
             if self._up is up and up.heard <= self._asked:
+                self._servers.vanished(self.server)
                 self.drop(why)
                 self.lose(why)
         finally:
@@ -264,6 +268,8 @@
                     done, timer = probe
                     timer.cancel()
                     done(i.Outcome.OK if passed else i.Outcome.FULL, report)
+                elif passed and report:
+                    self._servers.reported(self.server.machine, report)
             case b.TEST:
                 self.send(message.tag, b.encode(b.TESTED, message.tag, {b.CAUSE: b"\1"}))
             case b.PROGRESS | b.RELEASE_HEARD:
@@ -289,12 +295,16 @@
     """All links: the platform's side of `ports.Site`."""
 
     def __init__(self, settings: i.Settings, share: Share, dial_s: float, probe_s: float,
-                 log: Callable[[str], None]) -> None:
-        self._fields, self._share = settings.report_fields, share
+                 reported: Callable[[int, tuple[float, ...]], None], log: Callable[[str], None]) -> None:
+        """`reported` hears what a machine says of its load when no probe asked it."""
+        self._fields, self._share, self.reported = settings.report_fields, share, reported
+        # Guards against paying twice: a test is priced as a probe is, so where probes are allowed it asks
+        # for the report that the module would otherwise probe for.
+        self._asks = int(settings.may_probe and bool(settings.report_fields))
         self._dial_s, self._probe_s, self.log = dial_s, probe_s, log
         self._links: dict[int, Link] = {}
         self._unclaimed: dict[bytes, tuple[float, ports.Ended]] = {}  # the oldest first
-        self._tests = 0
+        self._tests, self._vigil = 0, Vigil()
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
     # ---- the list ------------------------------------------------------------------------------------------
@@ -419,12 +429,12 @@
         done(i.Outcome.TIMEOUT, ())
 
     def test(self, link: Link) -> None:
-        """A test that nobody waits for: any answer shows life."""
+        """A test that nobody waits for: any answer shows life, and its report is passed on."""
         message = self.test_message()
         link.send(message, message)
 
     def test_message(self) -> bytes:
-        return b.encode(b.TEST, self._test_tag(), {b.CAUSE: b"\0"})
+        return b.encode(b.TEST, self._test_tag(), {b.CAUSE: bytes((self._asks,))})
 
     def _test_tag(self) -> bytes:
         self._tests += 1
@@ -432,6 +442,12 @@
 
     # ---- what links ask for --------------------------------------------------------------------------------
 
+    def patience(self, server: Server, now: float) -> float:
+        return self._vigil.patience(now, server.zone, server.cell)
+
+    def vanished(self, server: Server) -> None:
+        self._vigil.vanished(time.monotonic(), server.zone, server.cell)
+
     def unclaimed(self, tag: bytes, ended: ports.Ended) -> None:
         """Guards against a race after a restart: the release may come before the owner names the task."""
         self._unclaimed[tag] = (time.monotonic(), ended)
--- a/weldhatch/serving.py
+++ b/weldhatch/serving.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 
 from weldhatch import config
+from weldhatch import interface as i
 from weldhatch.core.driver import Driver
 from weldhatch.core.life import Core
 from weldhatch.net.budget import Budget, Share
@@ -46,7 +47,8 @@
         self._started, self._log = told, log
         budget = self.budget = Budget(told.sockets)
         self.driver = Driver(Policy(settings, told.seed), log)
-        self.servers = Servers(settings, Share(budget, budget.most), told.dial_s, told.probe_s, log)
+        self.servers = Servers(settings, Share(budget, budget.most), told.dial_s, told.probe_s,
+                               self._reported, log)
         self.fleet = Fleet(settings, self.servers.changed, log)
         self.bus = Bus(told.bus, Share(budget, 2), lambda: self.fleet.offset, self._told, log)
         self.driver.site, self.driver.directory = self.servers, self.bus
@@ -62,6 +64,9 @@
         self.owners = Owners(settings, self.core, share, log)
         self.listener = Listener(told.listen, share, self.owners.taken, self.owners.make_room)
 
+    def _reported(self, machine: int, report: tuple[float, ...]) -> None:
+        self.driver.post(i.ProbeAnswered(machine, i.Outcome.OK, 0, report))
+
     def _told(self, event: dict) -> None:
         if changed := self.fleet.take(event):
             self.driver.post(changed)
