Where allocators are many, start a service at its first home, and believe told room longer

Cause: _tier gave a service's two homes, and any roomy machine, one tier, so each service started cold at two homes and beside them; one of sixteen allocators seldom holds a task of the service itself and can't know better. Ruled out: own starts queued at the machine (0 or 1 in nine of ten cases). Crowded machines with the program, or first homes, now go before a cold start.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -190,6 +190,40 @@
     assert len(calls) > first  # a new machine may rank first: the service is ranked again
 
 
+def test_many_allocators_start_a_service_at_its_first_home_and_few_at_either():
+    """Guards against a cold start at each home: with many allocators few see where the program is."""
+    def picked(group_size):
+        return {Driver(make_settings(group_size=group_size), machines(6), seed).place(service=9)[0].machine
+                for seed in range(12)}
+
+    assert len(picked(16)) == 1 and len(picked(2)) == 2
+
+
+def test_a_crowded_first_home_gives_way_to_the_next_and_a_crowded_machine_with_the_program_does_not():
+    settings = make_settings(group_size=16, classes=(make_class(calm=0.8),))
+    driver = Driver(settings, machines(6))
+    first = Driver(settings, machines(6)).place(service=9)[0].machine
+    crowded = {first: (1.0, 2.0, 0.99)}
+    offers = of(driver.answer(driver.arrive(service=9), crowded), Offer)
+    assert len(offers) == 1 and offers[0].machine != first
+    driver = Driver(settings, machines(6))
+    driver.send(TaskAdopted(50, 0, 9, 1.0, 2.0, machine=first))
+    driver.wait(SECOND)
+    offers = of(driver.answer(driver.arrive(service=9), crowded), Offer)
+    assert [offer.machine for offer in offers] == [first]  # a cold start elsewhere would come late
+
+
+@pytest.mark.parametrize("group_size, seconds, report, probed", [
+    (16, 3, (16.0, 32.0, 0.5), 0), (2, 3, (16.0, 32.0, 0.5), 2),
+    (16, 3, (0.5, 1.0, 0.5), 2), (16, 5, (16.0, 32.0, 0.5), 2)])
+def test_many_allocators_believe_told_room_for_longer_and_told_want_not(group_size, seconds, report, probed):
+    driver = Driver(make_settings(group_size=group_size), machines(2))
+    for machine in (1, 2):
+        driver.send(ProbeAnswered(machine, Outcome.OK, 500, report))
+    driver.wait(seconds * SECOND)
+    assert len(of(driver.arrive(), Probe)) == probed
+
+
 def test_homes_follow_the_whole_order_where_the_first_ranked_are_all_left_out():
     fleet = machines(RANKED + 8)
     order = sorted(fleet, key=lambda m: _rank(3, m.id))
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -23,12 +23,15 @@
 HOLD_US, HOLD_MOST_US = 40_000, 320_000  # a blocked request's first wait; it doubles up to the second
 EARLY_US = 12_000  # final answers leave this long and two ticks before the deadline
 STALE_US = 1_500_000  # an older report excludes nothing: else a machine once full is never probed again
+MANY = 8  # allocators from which on each sees too few of a service's tasks to know where its program is,
+HEARD_US = 4_000_000  # and does not probe machines that told room so lately: all their probes are priced
 LIST_LAG_US, REPORT_LAG_US = 2_500_000, 400_000  # lists and reports tell the room of about this long ago
 LINE = 12.0  # own open offers that a machine may have, until its refusals and starts teach better
 LINE_CUT = 0.8  # what a refusal for a full line leaves of that; each start at the limit adds a little
 LOW_SHARE = 0.7  # the part of it that classes below the highest priority may fill
 RESERVE = 0.08  # the part of a machine's room that the least worthy class leaves to the others
-HOME, ABSENT = 4, 8  # the lowest tiers of a home of a service, and of another without its program
+# The lowest tiers of a service's first home, of its others, and of other machines without its program.
+FIRST, HOME, ABSENT = 2, 4, 8
 HOMES = 2  # machines that every allocator favours for a service, so that its program is there for all
 COLD_OPEN = 2  # open offers of ours that a machine just back may have
 KEPT = 4  # programs that a machine is thought to keep after our last task of theirs
@@ -67,6 +70,9 @@
         self._cold_share, self._turns = int(settings.cold_sends / max(1, settings.group_size)), 1
         if not self._cold_share and settings.cold_sends >= 2:  # more allocators than offers: by turns
             self._cold_share, self._turns = 1, -(-settings.group_size // int(settings.cold_sends // 2))
+        self._many = settings.group_size >= MANY
+        # By how much a crowded machine is drawn later; with many allocators, before a cold start elsewhere.
+        self._crowd = 16 if settings.by_service else 3 if self._many else 6
         self._top = max(c.priority for c in settings.classes)
         worths = {c.worth for c in settings.classes}
         self._cheapest = min(worths) if len(worths) > 1 else None
@@ -121,10 +127,19 @@
         cores, memory = n.cores - n.running[0] - n.offered[0], n.memory - n.running[1] - n.offered[1]
         if self._now - n.asked.heard <= STALE_US:  # a guess from use held too much back
             cores, memory = n.asked.left(n, 1.0, 1.0)
+        return self._holds(r, n, cores, memory)
+
+    def _holds(self, r: Request, n: Node, cores: float, memory: float) -> bool:
         part = 1 - RESERVE if r.cls.worth == self._cheapest else 1.0
         return (cores + (part * self._s.cores_booking - 1) * n.cores >= r.cores
                 and memory + (part * self._s.memory_booking - 1) * n.memory >= r.memory)
 
+    def _heard(self, r: Request, n: Node) -> bool:
+        """Whether the machine told lately what a probe would: one that told no room is asked sooner."""
+        age = self._now - self._room(n).heard
+        return age <= STALE_US or (self._many and age <= HEARD_US
+                                   and self._holds(r, n, *self._room(n).left(n, 1.0, 1.0)))
+
     def _crowded(self, r: Request, n: Node) -> bool:
         """Whether the class would be served less than in full there, its own cores counted in."""
         busy, full = self._load(r, n)
@@ -155,8 +170,9 @@
         roomy = 0 < max(self._load(r, n)) < ROOMY * r.cls.calm and len(n.starting) < STARTING
         absent = n not in self._held.at(r.service)
         suspect = any(self._now < n.suspects.get(kind, (0, 0))[0] for kind in (ANY, r.kind))
-        return (64 * (n in r.errors) + 32 * suspect + (16 if self._s.by_service else 6) * self._crowded(r, n)
-                + (0 if not absent else HOME if roomy or n in r.homes else ABSENT)
+        first = self._many and r.homes[:1] == [n]  # else a service starts cold at each home
+        return (64 * (n in r.errors) + 32 * suspect + self._crowd * self._crowded(r, n)
+                + (0 if not absent else FIRST if first else HOME if roomy or n in r.homes else ABSENT)
                 + (self._s.prices.cross_zone > 0 and n.entry.zone != self._s.zone))
 
     # ---- the ordinary path ------------------------------------------------------------------------------
@@ -234,8 +250,8 @@
             self._blocked(r)
         elif not self._s.may_probe or not self._s.report_fields:
             self._choose(r, r.turn)
-        else:  # a report heard lately tells what a probe would: sixteen allocators' probes are priced
-            unheard = [n for n in drawn if self._now - self._room(n).heard > STALE_US]
+        else:
+            unheard = [n for n in drawn if not self._heard(r, n)]
             r.waiting = {n.entry.id for n in unheard}
             for n in unheard:
                 n.waiters[r.id] = None
