--- a/weldhatch/core/driver.py
+++ b/weldhatch/core/driver.py
@@ -25,6 +25,7 @@
         self._loop = asyncio.get_running_loop()
         self._lives: dict[int, Callable[[i.Action], None]] = {}
         self._last = 0
+        self.watch: Callable[[i.Event], None] | None = None  # hears every event that the module gets
         self.site: Site | None = None
         self.directory: Directory | None = None
 
@@ -41,6 +42,9 @@
         if not self._inbox:
             self._loop.call_soon(self._run)
         self._inbox += events
+        if self.watch is not None:
+            for event in events:
+                self.watch(event)
 
     def settled(self, *events: i.Event) -> asyncio.Future:
         """Post the events; done once all posted so far is decided and its actions have been routed."""
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -55,6 +55,11 @@
         core.unanswered += not self._answered
         self._running = self._loop.create_task(self._run(machine))
 
+    @property
+    def over(self) -> bool:
+        """Whether nothing is left to be heard of it."""
+        return self not in self._core.lives
+
     def tell(self, word: object) -> None:
         """A word from the module, a machine, the owner or a timer; each is heard in its turn."""
         self._words.append(word)
--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -88,6 +88,11 @@
             asyncio.get_running_loop().call_soon(self._start)
         return True
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that were sent and have not left yet, of OUT_MOST."""
+        return len(self._out)
+
     def _start(self) -> None:
         self._flush_soon = False
         if self._flushing is None and not self.closed:
