--- /dev/null
+++ b/tests/test_abroad.py
@@ -0,0 +1,102 @@
+"""Two pull queues as two sites: a submitter at one, a build machine at the other."""
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+from typing import ClassVar
+
+import pytest
+from scenario import SETTINGS, Client, Scenario
+from test_pullqueue import bot, lease, task
+
+from weldhatch import config
+from weldhatch.config import ConfigError
+from weldhatch.policy import Policy
+from weldhatch.pullqueue.front import PullQueue
+
+PLAIN = {"name": "a", "listen": "127.0.0.1:0", "store": "s", "peers": {"b": "127.0.0.1:1"}}
+
+
+class Abroad(Scenario):
+    newcomer = Client
+    timing: ClassVar = {"lease": 30, "grace": 0.2, "session": 60, "pickup": 10, "poll": 10, "settle": 0}
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        self.parties, self.logged = {}, []
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.b = self.begin("b", {"a": "127.0.0.1:1"})  # a dials: its name sorts first
+        host, port = self.b._door.listener.address
+        self.a = self.begin("a", {"b": f"{host}:{port}"})
+        await self.up()
+
+    async def up(self):
+        await self.until(lambda: self.a.sites.links["b"].up and self.b.sites.links["a"].up, "the link is up")
+
+    async def asyncTearDown(self):
+        self.gateway = self.a
+        self.b.abort()
+        await super().asyncTearDown()
+
+    def begin(self, name, peers):
+        settings = json.loads(json.dumps(SETTINGS))
+        settings["extra"] |= {"cpuBooking": 1, "memBooking": 1}
+        told = config.pull_queue({
+            "enabled": True, "listen": "127.0.0.1:0", "store": str(self.folder / f"queue-{name}"),
+            "timing": self.timing, "settings": settings,
+            "sites": {"name": name, "listen": "127.0.0.1:0", "store": str(self.folder / name),
+                      "peers": peers}})
+        return PullQueue(told, Policy(told.settings, 5), self.logged.append)
+
+    async def at(self, gateway, text):
+        self.gateway = gateway
+        await self.play(text)
+
+    async def crosses(self, cls="unsafe", key="a1"):
+        """Placed at b for a submitter at a."""
+        await self.at(self.b, f"p1 send POST botSessions | {bot('b1')}\np1 expect 200")
+        await self.until(lambda: (told := self.a.sites.router.sites["b"].told) and told.free["safe"],
+                         "a has heard of b's room")
+        await self.at(self.b, "p1 send PATCH $session X-Server-Timeout=9 | {}")
+        await self.at(self.a, f"c1 send POST tasks | {task(cls, key, left=4000)}")
+        await self.at(self.b, f"""
+            p1 expect 200 leases.0.state=PENDING leases.0.payload.key={key} leases.0.payload.blob=v=0
+            p1 send PATCH $session | {lease("ACTIVE")}
+            p1 expect 200 leases.0.state=ACTIVE
+        """)
+        await self.at(self.a, "c1 expect 200 answer=placed")
+
+    async def test_a_task_submitted_here_runs_at_a_machine_there_and_its_end_is_told_here(self):
+        await self.crosses()
+        await self.at(self.b, f"p1 send PATCH $session | {lease('COMPLETED')}\np1 expect 200 leases=[]")
+        await self.at(self.a, "c1 send GET $task X-Server-Timeout=9\nc1 expect 200 state=DONE")
+
+    async def test_a_task_that_may_not_start_twice_is_spent_at_both_sites(self):
+        await self.crosses()
+        await self.at(self.b, f"p1 send PATCH $session | {lease('COMPLETED')}\np1 expect 200 leases=[]")
+        await self.at(self.a, "c1 send GET $task X-Server-Timeout=9\nc1 expect 200 state=DONE")
+        await self.at(self.a, f"c1 send POST tasks | {task('unsafe')}\nc1 expect 200 answer=failed")
+        await self.at(self.b, f"c2 send POST tasks | {task('unsafe')}\nc2 expect 200 answer=failed")
+
+    async def test_a_key_that_stands_at_the_other_site_can_not_be_asked_for_there(self):
+        await self.crosses("keyed")
+        await self.at(self.b, f"c2 send POST tasks | {task('keyed')}\nc2 expect 200 answer=refused")
+
+    async def test_a_submitter_ends_a_task_at_the_other_site(self):
+        await self.crosses("safe")
+        await self.at(self.a, "c1 send DELETE $task | {}\nc1 expect 200")
+        await self.at(self.b, "p1 send PATCH $session X-Server-Timeout=9 | "
+                              + json.dumps({"leases": [{"id": "$lease", "state": "ACTIVE"}]}))
+        await self.at(self.b, "p1 expect 200 leases.0.state=CANCELLED")
+
+
+@pytest.mark.parametrize("change, fault", [
+    ({"name": ""}, "sites.name"), ({"store": 5}, "sites.store"), ({"listen": "x"}, "sites.listen"),
+    ({"peers": {}}, "sites.peers"), ({"peers": {"b": "nowhere"}}, "sites.peers.b"),
+    ({"peers": {"a": "127.0.0.1:1"}}, "sites.peers.a"), ({"peers": {"b": 7}}, "sites.peers.b"),
+    ({"hops": 3}, "sites.hops")])
+def test_a_faulty_key_is_named(change, fault):
+    tree = {"enabled": True, "settings": SETTINGS, "sites": {**PLAIN, **change}}
+    with pytest.raises(ConfigError, match=fault):
+        config.pull_queue(tree)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,7 @@
     for path in (ROOT / "weldhatch").rglob("*.py")
 }
 PACKAGES = {"applying", "cli", "client", "conform", "core", "forms", "keys", "net", "nodes", "planning",
-            "platform", "pullqueue", "standins", "store"}
+            "platform", "pullqueue", "sites", "standins", "store"}
 # What each package may import of the others; modules beside the packages are its business.
 ABOVE = {
     "core": set(),
@@ -25,10 +25,13 @@
     "planning": {"forms"}, "keys": set(), "client": set(), "conform": {"client"},
     "nodes": {"planning"},
     "applying": {"planning", "nodes", "store"},
+    "sites": {"core", "net", "store"},
 }
 # Modules that hold decisions take clock and randomness as arguments, and do no I/O.
 PURE = ("weldhatch.planning.", "weldhatch.policy", "weldhatch.state", "weldhatch.interface",
-        "weldhatch.keys.tokens", "weldhatch.platform.vigil", *(f"weldhatch.pullqueue.{name}" for name in (
+        "weldhatch.keys.tokens", "weldhatch.platform.vigil",
+        *(f"weldhatch.sites.{name}" for name in ("lending", "routing", "session", "taking", "words")),
+        *(f"weldhatch.pullqueue.{name}" for name in (
             "deadlines", "durable", "operators", "quotas", "reports", "shares", "workers")))
 IMPURE = {"time", "random", "socket", "asyncio", "os", "pathlib", "subprocess", "tempfile", "tornado", "http"}
 
--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,231 @@
+"""Several sites on loopback, with wires that break: one answer, one end, no key twice, and all settles."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+from unittest import mock
+
+from weldhatch.sites import crossing, session
+from weldhatch.sites.lending import Lending
+from weldhatch.sites.taking import Taking
+from weldhatch.standins.region import Region
+
+LOOKUP, IMPORT, WRITER = range(3)
+
+
+class Sites(unittest.IsolatedAsyncioTestCase):
+    machines = (0, 4)  # a has no machine of its own: all that it places crosses
+    names = ("a", "b")
+    life_s = 30.0
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.logged = []
+        self.region = Region(Path(folder.name), self.names, life_s=self.life_s, log=self.logged.append)
+        await self.region.start(dict(zip(self.names, self.machines, strict=True)))
+        await self.region.up()
+        self.wire = next(iter(self.region.wires.values()))
+
+    async def asyncTearDown(self):
+        await self.region.close()
+
+    async def answered(self, owner):
+        await asyncio.wait_for(owner.answered.wait(), 20)
+        return owner.answers[0]
+
+    def lent(self, site="a"):
+        return [one.phase for one in self.region.now[site].sites.lender.lent.values()]
+
+    def taken(self, site="b", of="a"):
+        return [one.phase for one in self.region.now[site].book.taker(of).taken.values()]
+
+
+class Crossing(Sites):
+    async def test_what_home_can_not_place_is_placed_at_the_other_site_and_its_end_comes_back(self):
+        owner = self.region.ask("a", WRITER)
+        self.assertEqual("placed", await self.answered(owner))
+        self.assertRegex(owner.description, "m[1-4]")
+        self.assertEqual([Lending.STANDS], self.lent())
+        self.region.now["b"].hall.end_all()
+        await asyncio.wait_for(owner.over.wait(), 20)
+        self.assertEqual(1, owner.ends)
+        await self.region.settled()
+
+    async def test_an_owners_release_is_relayed_and_its_machine_stops(self):
+        owner = self.region.ask("a", IMPORT)
+        await self.answered(owner)
+        owner.life.tell(crossing.ports.Released(16))
+        await self.region.until(lambda: not self.region.now["b"].hall.busy)
+        await self.region.settled()
+        self.assertEqual(0, owner.ends)  # it brought the end about itself
+
+    async def test_an_owner_that_gives_up_leaves_nothing_standing(self):
+        self.region.now["b"].hall.look_s = 0.3
+        owner = self.region.ask("a", WRITER)
+        await self.region.until(lambda: Taking.TRIED in self.taken())
+        owner.life.tell(crossing.ports.GivenUp())
+        await self.region.settled()
+        self.assertEqual([], owner.answers)
+        self.assertEqual(0, sum(self.region.tally.running.values()))
+
+    async def test_a_key_that_is_out_at_the_other_site_is_refused_until_it_is_over(self):
+        first = self.region.ask("a", WRITER, key=9)
+        self.assertEqual("placed", await self.answered(first))
+        self.assertEqual("refused", await self.answered(self.region.ask("a", WRITER, key=9)))
+        self.region.now["b"].hall.end_all()
+        await asyncio.wait_for(first.over.wait(), 20)
+        await self.region.settled()
+        self.assertEqual("placed", await self.answered(self.region.ask("a", WRITER, key=9)))
+        self.assertEqual([], self.region.tally.doubled)
+
+    async def test_a_drained_site_takes_nothing_new_and_keeps_what_stands(self):
+        owner = self.region.ask("a", WRITER)
+        await self.answered(owner)
+        self.region.now["b"].sites.draining = True
+        self.assertEqual("refused", await self.answered(self.region.ask("a", LOOKUP, left_s=0.5)))
+        self.assertEqual(1, self.region.now["b"].hall.busy)
+
+
+class Breaking(Sites):
+    async def test_a_link_cut_right_after_a_start_was_sent_starts_it_once_and_tells_how_it_went(self):
+        """The offer is out, the answer under way: the owner of a writer waits, or hears that it failed."""
+        self.region.now["b"].hall.look_s = 0.2
+        owner = self.region.ask("a", WRITER, left_s=1.0)
+        await self.region.until(lambda: Taking.TRIED in self.taken())
+        self.wire.cut()
+        self.assertEqual("failed", await self.answered(owner))
+        self.assertEqual([Lending.CALLED_BACK], self.lent())
+        again = self.region.ask("a", WRITER, key=owner.task.key)
+        self.assertEqual("refused", await self.answered(again))  # its key is in doubt
+        self.wire.heal()
+        await self.region.settled()
+        self.assertLessEqual(self.region.tally.starts[owner.task.key], 1)
+        self.assertEqual([], self.region.tally.doubled)
+
+    async def test_an_acknowledgement_that_is_lost_is_heard_after_the_link_heals(self):
+        self.wire.deaf.add("from")  # a dials b: b's words are lost
+        owner = self.region.ask("a", WRITER, left_s=8.0)
+        await self.region.until(lambda: self.region.now["b"].hall.busy)
+        self.wire.heal()
+        self.wire.cut()
+        self.wire.heal()
+        self.assertEqual("placed", await self.answered(owner))
+        self.assertEqual(1, self.region.tally.starts[owner.task.key])
+
+    async def test_safe_work_comes_home_from_a_site_that_is_silent_and_its_twin_is_called_off(self):
+        self.region.now["b"].hall.look_s = 0.1
+        owner = self.region.ask("a", LOOKUP, left_s=8.0)
+        await self.region.until(lambda: Taking.TRIED in self.taken())
+        self.wire.cut()
+        self.region.give_machines("a", 2)
+        self.assertEqual("placed", await self.answered(owner))
+        self.assertEqual(1, self.region.now["a"].hall.busy)
+        self.wire.heal()
+        await self.region.until(lambda: not self.region.now["b"].hall.busy and not self.lent())
+
+    async def test_a_site_that_takes_no_answers_is_given_up_and_left_out(self):
+        """Each believes the other dead, or one alone does: silence both ways, then one way."""
+        with mock.patch.object(session, "DEAD_S", 0.3), mock.patch.object(session, "BEAT_S", 0.05):
+            self.wire.deaf = {"to", "from"}
+            await self.region.until(lambda: not any(
+                link.up for one in self.region.now.values() for link in one.sites.links.values()))
+            self.assertEqual("refused", await self.answered(self.region.ask("a", WRITER, left_s=0.5)))
+            self.wire.heal()
+            await self.region.up()
+            self.wire.deaf = {"to"}
+            await self.region.until(lambda: not self.region.now["b"].sites.links["a"].up)
+            self.wire.heal()
+        await self.region.up()
+        self.assertEqual("placed", await self.answered(self.region.ask("a", WRITER)))
+
+
+class Dying(Sites):
+    async def test_a_site_that_dies_with_a_task_of_another_ends_it_once_and_frees_its_key(self):
+        owner = self.region.ask("a", WRITER)
+        await self.answered(owner)
+        self.region.kill("b")
+        self.region.begin("b")
+        await asyncio.wait_for(owner.over.wait(), 20)
+        self.assertEqual(1, owner.ends)
+        await self.region.settled()
+        self.assertEqual("placed", await self.answered(self.region.ask("a", WRITER, key=owner.task.key)))
+        self.assertEqual([], self.region.tally.doubled)
+
+    async def test_a_site_that_dies_before_it_heard_calls_back_what_it_lent(self):
+        self.region.now["b"].hall.look_s = 0.2
+        owner = self.region.ask("a", WRITER)
+        await self.region.until(lambda: Taking.TRIED in self.taken())
+        self.region.kill("a")
+        self.region.begin("a", 0)
+        self.assertEqual([Lending.CALLED_BACK], self.lent())
+        await self.region.settled()
+        self.assertLessEqual(self.region.tally.starts[owner.task.key], 1)
+
+    async def test_a_site_with_an_older_store_passes_no_work_either_way(self):
+        import shutil
+
+        region = self.region
+        await self.answered(region.ask("a", WRITER))
+        region.kill("b")
+        copy = Path(str(region.folder / "b") + ".old")
+        shutil.copytree(region.folder / "b", copy)
+        for _ in range(2):
+            region.begin("b")
+            await region.up()
+            region.kill("b")
+        shutil.rmtree(region.folder / "b")
+        copy.rename(region.folder / "b")
+        region.begin("b")
+        await region.until(lambda: region.now["a"].sites.links["b"].doubt)
+        await region.until(lambda: region.now["b"].sites.links["a"].doubt)
+        self.assertEqual("refused", await self.answered(region.ask("a", WRITER, left_s=0.5)))
+        self.assertIn("older copy", " ".join(self.logged))
+
+
+class Three(Sites):
+    names = ("a", "b", "c")
+    machines = (0, 0, 0)
+
+    async def test_a_task_that_nobody_can_place_goes_round_within_its_hops_and_is_refused(self):
+        """No site has room, though each has told of some: no loop, no ping-pong, one answer."""
+        for one in self.region.now.values():
+            one.sites.summary = lambda: crossing.Summary({"lookup": 9, "import": 9, "writer": 9}, 100)
+            for site in one.sites.links:
+                one.sites._tell(site)
+        owner = self.region.ask("a", WRITER, left_s=1.5)
+        self.assertEqual("refused", await self.answered(owner))
+        await self.region.settled()
+        self.assertEqual(["refused"], owner.answers)
+
+
+class Storm(Sites):
+    machines = (2, 4)
+    life_s = 0.1
+
+    async def test_many_tasks_under_cuts_and_deaths_each_end_once_and_none_runs_twice(self):
+        rnd, region = Random(5), self.region
+        for n in range(300):
+            if n % 60 == 30:
+                self.wire.cut()
+            if n % 60 == 45:
+                self.wire.heal()
+            if n % 100 == 70:
+                site = rnd.choice("ab")
+                region.kill(site)
+                region.begin(site, self.machines["ab".index(site)])
+            site = rnd.choice(sorted(region.now))
+            region.ask(site, rnd.randrange(3), left_s=0.8)
+            if n % 5 == 0:
+                await asyncio.sleep(0.02)
+        self.wire.heal()
+        await region.settled()
+        counts = region.counts()
+        self.assertEqual(0, counts["several"])
+        self.assertEqual(region.died, counts["none"])
+        self.assertGreater(counts["placed"], 100)
+        self.assertEqual([], [key for key in region.tally.doubled if region.guarded(key)])
+        self.assertTrue(all(owner.ends <= 1 for owner in region.owners))
--- /dev/null
+++ b/tests/test_sites_wire.py
@@ -0,0 +1,194 @@
+"""The link's session and frames: what is lost, doubled and late, credits, bad frames."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from weldhatch.net.ring import Ring
+from weldhatch.sites import frames, session, words
+from weldhatch.sites.session import Ack, Beat, Faulty, Full, Hello, Message, Session, stale
+
+
+def pass_all(a, b, now, got, most=1000):
+    """Everything that both sides have to say crosses; whether anything did."""
+    moved = False
+    for one, other in ((a, b), (b, a)):
+        for frame in one.frames(now, most):
+            moved = True
+            if brought := other.hear(now, frame):
+                got[other.name].append(brought)
+    return moved
+
+
+def pair():
+    a, b = Session("a"), Session("b")
+    a.begin(0.0, 0)
+    b.begin(0.0, 0)
+    return a, b, {"a": [], "b": []}
+
+
+@given(st.integers(0, 10_000))
+def test_each_message_comes_once_and_in_order_whatever_breaks(seed):
+    """Frames are lost with their connection at any point; both sides go on from what they have heard."""
+    rnd, (a, b, got), now = random.Random(seed), pair(), 0.0
+    sent = {"a": [], "b": []}
+    for n in range(120):
+        now += rnd.random() * 0.05
+        one, other = (a, b) if rnd.random() < 0.5 else (b, a)
+        payload = f"{one.name}{n}".encode()
+        one.send(0, payload)
+        sent[other.name].append((0, payload))
+        out = list(one.frames(now))
+        come = rnd.choice((len(out), rnd.randrange(len(out) + 1)))
+        for frame in out[:come]:
+            if brought := other.hear(now, frame):
+                got[other.name].append(brought)
+        if come < len(out) or rnd.random() < 0.2:  # the connection breaks, and what was under way is lost
+            list(a.frames(now)), list(b.frames(now))
+            heard = a.heard, b.heard
+            a.begin(now, heard[1])
+            b.begin(now, heard[0])
+    heard = a.heard, b.heard
+    a.begin(now, heard[1])
+    b.begin(now, heard[0])
+    for _ in range(60):
+        now += session.ACK_S
+        pass_all(a, b, now, got)
+    assert got == sent
+    assert not a.kept and not b.kept
+
+
+def test_a_stream_without_credit_does_not_block_another():
+    a, b, got = pair()
+    for n in range(session.CREDIT + 50):
+        a.send(0, b"bulk%d" % n)
+    out = list(a.frames(0.0, 10_000))
+    assert len(out) == session.CREDIT
+    a.send(1, b"urgent")
+    assert [frame.payload for frame in a.frames(0.0)] == [b"urgent"]
+
+
+def test_streams_take_turns():
+    a, _, _ = pair()
+    for n in range(6):
+        a.send(0, b"x%d" % n)
+    a.send(1, b"y")
+    assert b"y" in [frame.payload for frame in a.frames(0.0, 2)]
+
+
+def test_credit_that_was_lost_with_a_connection_is_given_again():
+    a, b, got = pair()
+    for n in range(session.CREDIT + 5):
+        a.send(0, b"%d" % n)
+    for frame in a.frames(0.0, 10_000):
+        b.hear(0.0, frame)
+    list(b.frames(1.0))  # the acknowledgement, and the credit with it, is lost
+    a.begin(2.0, b.heard)
+    b.begin(2.0, a.heard)
+    for _ in range(4):
+        pass_all(a, b, 3.0, got)
+    assert b.heard == session.CREDIT + 5
+
+
+def test_what_a_receiver_does_not_allow_ends_the_connection():
+    _, b, _ = pair()
+    for n in range(session.CREDIT):
+        b.hear(0.0, Message(n + 1, 0, b""))
+    with pytest.raises(Faulty, match="over its credit"):
+        b.hear(0.0, Message(session.CREDIT + 1, 0, b""))
+    for bad in (Message(99_999, 0, b""), Ack(5), Message(session.CREDIT + 1, 99, b""),
+                Hello(1, "x", 1, "t", (0, ""), "", 0, True)):
+        with pytest.raises(Faulty):
+            b.hear(0.0, bad)
+
+
+def test_a_side_that_lost_its_memory_can_not_go_on_with_the_session():
+    a, b, got = pair()
+    for n in range(40):
+        a.send(0, b"%d" % n)
+    for _ in range(5):
+        pass_all(a, b, 1.0, got)
+    with pytest.raises(Faulty, match="heard up to 0"):
+        a.begin(2.0, 0)
+    with pytest.raises(Faulty, match="of 40 that were sent"):
+        a.begin(2.0, 41)
+
+
+def test_a_full_line_takes_nothing_and_says_so():
+    a, _, _ = pair()
+    for _ in range(session.LINE_MOST):
+        a.send(2, b"")
+    with pytest.raises(Full):
+        a.send(2, b"")
+
+
+def test_beats_tell_the_delay_and_silence_the_death_of_a_connection():
+    a, b, _ = pair()
+    (beat,) = a.frames(session.BEAT_S)
+    b.hear(1.2, beat)
+    echo = next(frame for frame in b.frames(1.2) if isinstance(frame, Beat))
+    a.hear(1.4, echo)
+    assert a.delay_s == pytest.approx(0.2)
+    assert not a.dead(1.3 + session.DEAD_S) and a.dead(1.5 + session.DEAD_S)
+
+
+@pytest.mark.parametrize("hello, known, ours, fault", [
+    ((5, "x", (3, "k")), (5, "x"), (3, "k"), ""),
+    ((6, "y", (3, "k")), (5, "x"), (3, "k"), ""),
+    ((1, "x", (0, "")), (0, ""), (3, "k"), ""),
+    ((4, "x", (3, "k")), (5, "x"), (3, "k"), "epoch 4"),
+    ((5, "z", (3, "k")), (5, "x"), (3, "k"), "older copy"),
+    ((5, "x", (4, "m")), (5, "x"), (3, "k"), "our store"),
+    ((5, "x", (3, "m")), (5, "x"), (3, "k"), "our store")])
+def test_an_older_copy_of_a_store_is_told_on_both_sides(hello, known, ours, fault):
+    epoch, token, yours = hello
+    told = stale(Hello(1, "b", epoch, token, yours, "", 0, True), known, ours)
+    assert (fault in told) if fault else told == ""
+
+
+WORK = words.Work("c", "UNSAFE", 7, 1, 0.5, 2.0, "t", ("a", "b"), 1)
+ALL = [Hello(1, "a", 3, "t", (2, "u"), "s", 9, False), Message(1, 2, b"\0x"), Ack(4, ((0, 9),)), Beat(5, 6)]
+WORDS = [words.Offered((1, 2), WORK, 5), words.Withdrawn((1, 2)), words.Freed((1, 2), 16),
+         words.Closed((1, 2)), words.Floor((1, 2)), words.Taken((1, 2)),
+         words.Stood((1, 2), "d"), words.Returned((1, 2), 7), words.Ended((1, 2), 41, True)]
+
+
+def test_frames_and_words_come_back_as_they_went():
+    ring = Ring(64 * 1024)
+    for frame in ALL:
+        ring.put(frames.encode(frame)[:3])
+        assert frames.parse(ring) is None
+        ring.put(frames.encode(frame)[3:])
+        assert frames.parse(ring) == frame
+    assert [frames.decode_word(frames.encode_word(word)) for word in WORDS] == WORDS
+
+
+@pytest.mark.parametrize("record", [
+    ("epoch", 4), ("lent", (1, 2), "b", WORK), ("taken", (1, 2), WORK), ("stands", (1, 2), "d"),
+    ("freed", (1, 2), 16), ("back", (1, 2)), ("floor", (1, 2))])
+def test_records_come_back_as_they_were_written(record):
+    assert frames.decode_record(frames.encode_record(record)) == record
+
+
+@given(st.binary(max_size=60))
+def test_bytes_of_no_meaning_are_faulty_and_nothing_else(data):
+    for read in (frames.decode, frames.decode_word):
+        try:
+            read(data)
+        except Faulty as fault:
+            assert str(fault)
+    try:
+        frames.decode_record(data)
+    except ValueError as fault:
+        assert "can't be read" in str(fault)
+
+
+def test_a_frame_that_is_too_long_is_refused_at_its_length():
+    ring = Ring(1024)
+    ring.put(b"\xff\xff\xff\xff")
+    with pytest.raises(Faulty, match="are the most"):
+        frames.parse(ring)
+    with pytest.raises(ValueError):
+        frames.encode(Message(1, 0, bytes(frames.FRAME_MOST)))
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -317,6 +317,16 @@
     calls: int  # under way at a time, of one caller
 
 
+@dataclass(slots=True, frozen=True)
+class SitesFile:
+    """Other sites that a gateway hands work to, and takes it from."""
+
+    name: str  # ours
+    listen: tuple[str, int]
+    store: str  # the folder of what was lent and taken
+    peers: Mapping[str, tuple[str, int]]  # where each of the others listens
+
+
 @dataclass(slots=True, frozen=True)
 class PullQueueFile:
     enabled: bool
@@ -333,6 +343,7 @@
     timing: Timing
     settings: i.Settings
     security: SecurityFile
+    sites: SitesFile | None = None
 
 
 PULL_DEFAULTS = {"enabled": False, "listen": "127.0.0.1:5090", "control": "", "ledger": "",
@@ -351,7 +362,7 @@
 def pull_queue(tree: Mapping) -> PullQueueFile:
     """The pull queue's configuration from the tree of its file. A key that is not known is a fault too."""
     for key in tree:
-        if key not in PULL_DEFAULTS and key not in ("timing", "settings", "security"):
+        if key not in PULL_DEFAULTS and key not in ("timing", "settings", "security", "sites"):
             raise ConfigError(f"{key} is no key of a pull queue's file")
     timing = _key(tree, "timing", dict, {})
     for key in timing:
@@ -380,7 +391,7 @@
         idle=_span("idle", tree.get("idle", PULL_DEFAULTS["idle"]), 1.0),
         enabled=_key(tree, "enabled", bool, PULL_DEFAULTS["enabled"]),
         listen=endpoint("listen", _key(tree, "listen", str, PULL_DEFAULTS["listen"])),
-        security=_security(tree),
+        security=_security(tree), sites=_sites(tree),
         **counts, timing=Timing(**spans), settings=settings_of_json(_key(tree, "settings", dict)))
 
 
@@ -405,6 +416,30 @@
     return SecurityFile(values["keys"], tls, values["tokens"], calls)
 
 
+def _sites(tree: Mapping) -> SitesFile | None:
+    """None without the table: a gateway of one site."""
+    told = _key(tree, "sites", dict, {})
+    if not told:
+        return None
+    for key in told:
+        if key not in ("name", "listen", "store", "peers"):
+            raise ConfigError(f"sites.{key} is no key of a pull queue's file")
+    for key in ("name", "store"):
+        if not isinstance(told.get(key), str) or not told[key]:
+            raise ConfigError(f"sites.{key} is missing, or no text")
+    peers, names = {}, told.get("peers")
+    if not isinstance(names, dict) or not names:
+        raise ConfigError("sites.peers is missing: the other sites, each with the address where it listens")
+    for name, text in names.items():
+        if not isinstance(text, str):
+            raise ConfigError(f"sites.peers.{name} has the unusable value {text!r}: it should be host:port")
+        peers[name] = endpoint(f"sites.peers.{name}", text)
+    if told["name"] in peers:
+        raise ConfigError(f"sites.peers.{told['name']}: this site itself is no other one")
+    listen = endpoint("sites.listen", str(told.get("listen", "")))
+    return SitesFile(told["name"], listen, told["store"], peers)
+
+
 def _span(key: str, value: object, least: float) -> float:
     """A span of seconds."""
     if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= 3600:
--- /dev/null
+++ b/weldhatch/pullqueue/abroad.py
@@ -0,0 +1,84 @@
+"""The pull queue among several sites: how its tasks cross, and what its ledger says of those that come.
+
+Imported only where `sites` is configured: its codec is not a part of what `run` needs.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from weldhatch import interface as i
+from weldhatch.config import PullQueueFile
+from weldhatch.core import ports
+from weldhatch.core.driver import Driver
+from weldhatch.core.life import Core
+from weldhatch.net.budget import Budget, Share
+from weldhatch.pullqueue import durable
+from weldhatch.pullqueue.book import Book, NoBook
+from weldhatch.pullqueue.leases import Ledger
+from weldhatch.pullqueue.machines import Passed
+from weldhatch.setups import Setup
+from weldhatch.sites.book import SitesBook
+from weldhatch.sites.crossing import Front, Sites
+from weldhatch.sites.link import Door
+from weldhatch.sites.routing import Router
+from weldhatch.sites.words import Id, Work
+
+SETTLE_SPARE_S = 0.5
+SOCKETS_A_SITE = 4
+
+
+class Abroad(Front):
+    """What the sites need of this front."""
+
+    def __init__(self, settings: i.Settings, ledger: Ledger, book: Book | NoBook) -> None:
+        self._settings, self._ledger, self._book = settings, ledger, book
+        self._names = {cls.name: cls for cls in settings.classes}
+
+    def names_of(self, task: ports.Task) -> tuple[str, ...]:
+        passed: Passed = task.passed_on
+        return msgspec.json.encode(passed.setup).decode(), passed.blob
+
+    def guest(self, site: str, id: Id, work: Work) -> tuple[object, object]:
+        try:
+            setup, blob = work.names
+            read = msgspec.json.decode(setup, type=Setup)
+        except (msgspec.MsgspecError, ValueError) as fault:
+            raise ValueError(f"a task that can't be read: {str(fault)[:120]}") from None
+        return f"crossings/{site}-{id[0]}-{id[1]}", Passed(read, blob)
+
+    def admits(self, work: Work) -> str:
+        """Guards against a start beside a request, a lease, or an earlier hand-out of this gateway's own."""
+        refusal = self._ledger.refusal(work.key, self._names[work.class_name])
+        return refusal.value if refusal is not None else ""
+
+    def ran(self, work: Work) -> None:
+        """It was handed out at another site: what may not start twice never goes out again here either."""
+        if work.key and self._names[work.class_name].effect is i.Effect.UNSAFE \
+                and self._ledger.spend(work.key):
+            self._book.must(durable.encode("spent", [work.key]))
+
+
+def build(told: PullQueueFile, settings: i.Settings, driver: Driver, core: Core, ledger: Ledger,
+          book: Book | NoBook, random: Random, log: Callable[[str], None]) -> tuple[Sites, SitesBook, Door]:
+    """The sites of this gateway, dialling and listening. Raises ConfigError, or OSError for the address."""
+    sites_book = SitesBook(told.sites.store, time.time(), log)
+    names = list(told.sites.peers)
+    share = Share(Budget(told.sockets), 2 * SOCKETS_A_SITE * len(names))
+    try:
+        settle = told.timing.lease + told.timing.grace + SETTLE_SPARE_S
+        sites = Sites(told.sites.name, names, settings, core, sites_book, Router(names, random),
+                      Abroad(settings, ledger, book), settle, log)
+        door = Door(told.sites.listen, sites.links, share, log)
+    except BaseException:
+        sites_book.close()
+        raise
+    driver.watch = lambda event: sites.room.watch(time.monotonic(), event)
+    for name, endpoint in told.sites.peers.items():
+        if told.sites.name < name:
+            sites.links[name].dial(endpoint, share)
+    return sites, sites_book, door
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -55,8 +55,15 @@
         self.bots = Bots(settings, told.timing, ledger, self.operators, self.book, self.driver.post, log)
         self.driver.site, self.driver.directory = self.bots, NoDirectory()
         self.core = Core(self.driver, self.bots, log)
+        self.sites = self._sites_book = self._door = None
+        if told.sites is not None:
+            from weldhatch.pullqueue import abroad  # its codec is imported only where there are sites
+
+            self.sites, self._sites_book, self._door = abroad.build(
+                told, settings, self.driver, self.core, ledger, self.book, Random(told.listen[1]), log)
         self.tasks = Tasks(
-            settings, self.core, self.bots, ledger, self.book, told.queue, Random(told.listen[1]), log
+            settings, self.sites or self.core, self.bots, ledger, self.book, told.queue,
+            Random(told.listen[1]), log,
         )
         self.operations = Operations(self.tasks)
         if told.store:
@@ -190,11 +197,15 @@
     async def end(self) -> None:
         """No more connections; whatever was submitted gets its answer before the end."""
         self.listener.close()
-        while self.core.unanswered:
+        if self.sites is not None:
+            self.sites.draining = True  # nothing new of other sites'; what they wait for is answered
+        while (self.sites or self.core).unanswered:
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)  # the answers' own turns of the loop
         await asyncio.gather(*(connection.finish(FINISH_S) for connection in list(self._links)))
         await self.book.flush()
+        if self._sites_book is not None:
+            await self._sites_book.flush()
         self.abort()
 
     def abort(self) -> None:
@@ -203,6 +214,10 @@
         for connection in list(self._links):
             connection.close()
         self._watching.cancel()
+        if self.sites is not None:
+            self.sites.close()
+            self._door.close()
+            self._sites_book.close()
         self.bots.close()
         self.tasks.close()
         self._ledger.close()
--- a/weldhatch/pullqueue/leases.py
+++ b/weldhatch/pullqueue/leases.py
@@ -106,6 +106,12 @@
             os.fsync(self._file.fileno())
         return True
 
+    def spend(self, key: int) -> bool:
+        """It was handed out elsewhere; whether that is news here."""
+        news = key not in self._spent
+        self._spent.add(key)
+        return news
+
     def taken_back(self, lease: Lease, spent: bool) -> None:
         """It did not leave after all."""
         self.over(lease)
--- /dev/null
+++ b/weldhatch/sites/__init__.py
@@ -0,0 +1,1 @@
+"""Work between sites: hand-overs, the link between two gateways, and routing."""
--- /dev/null
+++ b/weldhatch/sites/crossing.py
@@ -0,0 +1,603 @@
+"""One gateway among several sites: it stands where the core stands for a front, and passes on what crosses.
+
+A request is one coroutine (`Crossing`): home's own module first, for a share of its time where another site
+could take it; then at most one other site at a time; then home again. A task that comes from another site
+goes through this site's core as any other request does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from weldhatch import interface as i
+from weldhatch.core import ports
+from weldhatch.core.driver import unix_us
+from weldhatch.core.life import Core, Life
+from weldhatch.sites import book as records
+from weldhatch.sites import frames, lending, taking, words
+from weldhatch.sites.book import SitesBook
+from weldhatch.sites.lending import Busy, Lender
+from weldhatch.sites.link import Ears, Link
+from weldhatch.sites.room import Room
+from weldhatch.sites.routing import Router, Stays, Summary
+from weldhatch.sites.session import Faulty
+from weldhatch.sites.words import Id, Work
+from weldhatch.store.log import LogError
+
+WORDS, SUMMARIES = 0, 1  # streams of a link
+HOME_SHARE = 0.4  # the part of a request's time that home has, where another site could take it
+SPARE_US = 30_000  # an answer from another site has to be here so long before the deadline
+TELL_S = 0.5  # between two summaries
+REPEAT_S = 1.0  # between two looks at what another site has not confirmed
+SILENT_S = 0.5  # safe work is taken back from a site whose link has been down for so long
+LOOK_S = 0.01
+FAILED = 47  # the cause of a task that may have run
+BUSY_WAIT_US = 1_000_000  # when to come back, for a task whose key is in doubt
+
+
+# ---- words to a crossing's coroutine ----------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class AtHome:
+    """What home's core answered: placed, refused or failed."""
+
+    answer: str
+    description: str | None = None
+    wait_us: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class HomeOver:
+    """A task that stood at home is over (`moved`: by a move)."""
+
+    cause: int
+    moved: bool = False
+
+
+class HomeOwner:
+    """The core's owner for a task that this site's core decides on: tells the crossing."""
+
+    def __init__(self, tell: Callable[[object], None]) -> None:
+        self._tell = tell
+
+    def placed(self, description: str | None) -> None:
+        self._tell(AtHome("placed", description))
+
+    def refused(self, wait_us: int) -> None:
+        self._tell(AtHome("refused", None, wait_us))
+
+    def failed(self) -> None:
+        self._tell(AtHome("failed"))
+
+    def released(self, cause: int) -> None:
+        self._tell(HomeOver(cause))
+
+    def moved(self) -> None:
+        self._tell(HomeOver(ports.CALLED_OFF, moved=True))
+
+
+class Crossing:
+    """One request of an owner here. Exactly one final answer: `_decide` is the only place that gives it."""
+
+    def __init__(self, sites: Sites, task: ports.Task, owner: ports.Owner) -> None:
+        self._sites, self.task, self._owner = sites, task, owner
+        self.work = sites.work_of(task)
+        self._words: deque[object] = deque()
+        self._wake: asyncio.Future | None = None
+        self._loop = asyncio.get_running_loop()
+        self.answered = False
+        sites.crossings.add(self)
+        sites.undecided += 1
+        self.running = self._loop.create_task(self._run())
+
+    def tell(self, word: object) -> None:
+        self._words.append(word)
+        if self._wake is not None:
+            self._wake.set_result(None)
+            self._wake = None
+
+    async def _next(self) -> object:
+        while not self._words:
+            self._wake = self._loop.create_future()
+            await self._wake
+        return self._words.popleft()
+
+    def _left_us(self) -> int:
+        return self.task.deadline_us - unix_us()
+
+    async def _run(self) -> None:
+        try:
+            stands = await self._decide()
+            self._answer_done()
+            if stands is not None:
+                await stands
+        except Exception:
+            # Guards the owner against a fault of ours: its request still gets its one final answer.
+            self._sites.log("a crossing: " + traceback.format_exc().replace("\n", " | "))
+            if not self.answered:
+                self._answer_done()
+                self._owner.failed()
+        finally:
+            self._sites.crossings.discard(self)
+
+    def _answer_done(self) -> None:
+        if not self.answered:
+            self.answered = True
+            self._sites.undecided -= 1
+
+    # ---- from the arrival to the final answer ----------------------------------------------------------
+
+    async def _decide(self) -> object | None:
+        """Home, then other sites, then home again; what looks after the task where it stands, or None."""
+        # A task that may go to certain machines only stays with them.
+        crossed = set() if self.task.only is None else set(self._sites.links)
+        wait_us, wants_home = 0, True
+        while self._left_us() > SPARE_US:
+            to = self._sites.choose(self.work, self._left_us(), frozenset(crossed))
+            if wants_home and not self._sites.draining:
+                here = await self._at_home(self._left_us() if isinstance(to, Stays)
+                                           else int(HOME_SHARE * self._left_us()))
+                match here:
+                    case AtHome("placed", description):
+                        self._owner.placed(description)
+                        return self._stand_at_home()
+                    case AtHome("refused", _, wait):
+                        wait_us = wait
+                    case AtHome():
+                        self._owner.failed()
+                        return None
+                    case Busy():
+                        self._owner.refused(BUSY_WAIT_US)
+                        return None
+                    case None:
+                        return None  # given up
+                to = self._sites.choose(self.work, self._left_us(), frozenset(crossed))
+            if isinstance(to, Stays):
+                if not wants_home and not self._sites.draining:
+                    wants_home = True
+                    continue
+                break
+            crossed.add(to)
+            wants_home = False
+            there = await self._lend(to)
+            match there:
+                case lending.Answer(id, "placed", description):
+                    self._owner.placed(description)
+                    return self._stand_there(id)
+                case lending.Answer(_, "refused", _, wait):
+                    self._owner.refused(wait)
+                    return None
+                case lending.Answer():
+                    self._owner.failed()
+                    return None
+                case lending.TakeBack(_, wait):
+                    wait_us = max(wait_us, wait)
+                case Busy():
+                    self._owner.refused(BUSY_WAIT_US)
+                    return None
+                case None:
+                    return None
+        self._owner.refused(wait_us)
+        return None
+
+    async def _at_home(self, share_us: int) -> AtHome | Busy | None:
+        """Home's module decides, within so much time; None where the owner gave up."""
+        try:
+            self._sites.lender.begin(self.work)
+        except Busy as busy:
+            return busy
+        self._life: Life = self._sites.core.arrive(
+            replace(self.task, deadline_us=unix_us() + share_us), HomeOwner(self.tell))
+        while True:
+            match await self._next():
+                case AtHome(answer) as here:
+                    if answer == "refused":
+                        self._sites.lender.end(self.work)
+                    elif answer == "failed":  # it may run: its key is not free before that is over
+                        self._sites.settle(self._life, lambda: self._sites.lender.end(self.work))
+                    return here
+                case ports.GivenUp():
+                    self._life.tell(ports.GivenUp())
+                    self._sites.settle(self._life, lambda: self._sites.lender.end(self.work))
+                    return None
+
+    async def _lend(self, site: str) -> lending.Answer | lending.TakeBack | Busy | None:
+        """Hand the task to another site and wait for its word; None where the owner gave up."""
+        try:
+            id = await self._sites.lend(site, self.work, self._left_us() - SPARE_US, self)
+        except Busy as busy:
+            return busy
+        timer = self._loop.call_later(max(0, self._left_us() - SPARE_US) / 1e6, self._sites.time_up, id)
+        try:
+            while True:
+                match await self._next():
+                    case lending.Answer() | lending.TakeBack() as word if word.id == id:
+                        return word
+                    case ports.GivenUp():
+                        self._sites.leave(id)
+                        self._sites.carry(self._sites.lender.given_up(id))
+                        return None
+        finally:
+            timer.cancel()
+
+    # ---- while the task stands -------------------------------------------------------------------------
+
+    async def _stand_at_home(self) -> None:
+        try:
+            while True:
+                match await self._next():
+                    case HomeOver(cause, moved):
+                        self._owner.moved() if moved else self._owner.released(cause)
+                        return
+                    case ports.Released(cause):
+                        self._life.tell(ports.Released(cause))
+                        await self._sites.after(self._life, 0.0, lambda: None)
+                        return
+        finally:
+            self._sites.lender.end(self.work)
+
+    async def _stand_there(self, id: Id) -> None:
+        while True:
+            match await self._next():
+                case lending.Over(which, cause) if which == id:
+                    self._owner.released(cause)
+                    return
+                case ports.Released(cause):
+                    self._sites.leave(id)
+                    self._sites.carry(self._sites.lender.freed(id, cause))
+                    return
+
+
+class Guest:
+    """A task of another site, at this site's core: tells the hand-over what comes of it."""
+
+    def __init__(self, sites: Sites, site: str, id: Id, work: Work, left_us: int) -> None:
+        self._sites, self.site, self.id, self.work = sites, site, id, work
+        self.standing = False
+        self.life = sites.core.arrive(sites.task_of(site, id, work, left_us), self)
+
+    def placed(self, description: str | None) -> None:
+        self.standing = True
+        self._sites.carry(self._taker.stands(self.id, description or ""), self.site)
+
+    def refused(self, wait_us: int) -> None:
+        self._over()
+        self._sites.carry(self._taker.given_back(self.id, wait_us), self.site)
+
+    def failed(self) -> None:
+        """It may have run, and may still."""
+        self._sites.settle(self.life, lambda: self._ended(FAILED))
+
+    def released(self, cause: int) -> None:
+        self._ended(cause)
+
+    def moved(self) -> None:
+        self._ended(ports.CALLED_OFF)
+
+    def give_up(self) -> None:
+        """Nobody waits for it any more. It may have run: it ends once it can't, and is not returned."""
+        self.life.tell(ports.GivenUp())
+        self._sites.settle(self.life, lambda: self._ended(ports.GIVEN_UP))
+
+    def free(self, cause: int) -> None:
+        """The core tells an owner nothing of an end that the owner asked for: it is waited for."""
+        self.life.tell(ports.Released(cause))
+        self._sites.spawn(self._sites.after(self.life, 0.0, lambda: self._ended(cause)))
+
+    @property
+    def _taker(self) -> taking.Taker:
+        return self._sites.book.taker(self.site)
+
+    def _ended(self, cause: int) -> None:
+        self._over()
+        self._sites.carry(self._taker.ended(self.id, cause), self.site)
+
+    def _over(self) -> None:
+        if self._sites.guests.pop((self.site, self.id), None) is not None:
+            self._sites.lender.end(self.work)
+
+
+class Front(Protocol):
+    """What the sites need of the front whose requests cross."""
+
+    def names_of(self, task: ports.Task) -> tuple[str, ...]:
+        """What another site's front needs of a task, as text that crosses unread."""
+
+    def guest(self, site: str, id: Id, work: Work) -> tuple[object, object]:
+        """A guest task's label, and what is passed on with it to a machine. ValueError: it can't be read."""
+
+    def admits(self, work: Work) -> str:
+        """Why a guest task may not start here; '' where it may."""
+
+    def ran(self, work: Work) -> None:
+        """A task that was lent has run, or may have, at another site."""
+
+
+class Sites:
+    """All that crosses, both ways. A front may hold it in the place of its core."""
+
+    def __init__(self, name: str, names: list[str], settings: i.Settings, core: Core, book: SitesBook,
+                 router: Router, front: Front, settle_s: float, log: Callable[[str], None]) -> None:
+        """`settle_s`: for how long a task that was given up, or whose gateway died, may still run."""
+        self.name, self.settings, self.core, self.book, self.router = name, settings, core, book, router
+        self._front, self._settle_s, self.log = front, settle_s, log
+        self.lender: Lender = book.lender
+        self.room = Room(settings)
+        self.crossings: set[Crossing] = set()
+        self.undecided = 0
+        self.guests: dict[tuple[str, Id], Guest] = {}
+        self.draining = False
+        self._waiting: dict[Id, tuple[Crossing, int]] = {}  # who waits for a transfer, and until when
+        self._down: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+        ears = Ears(self._link_up, self._link_down, self._hear)
+        self.links = {site: Link(name, site, book, ears, log) for site in names}
+        self._indexes = {cls.name: n for n, cls in enumerate(settings.classes)}
+        self._restore()
+        self.spawn(self._tick())
+
+    def spawn(self, work: object) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @property
+    def unanswered(self) -> int:
+        """Requests that are owed an answer: owners' here, and those of other sites."""
+        return self.undecided + sum(not guest.standing for guest in self.guests.values())
+
+    @property
+    def lives(self) -> set:
+        return self.core.lives
+
+    def arrive(self, task: ports.Task, owner: ports.Owner) -> Crossing:
+        return Crossing(self, task, owner)
+
+    def adopt(self, task: ports.Task, machine: int, owner: ports.Owner, answered: bool = True) -> Life:
+        """A task that runs here already: its key is this site's until it is over."""
+        work, life = self.work_of(task), self.core.adopt(task, machine, owner, answered)
+        try:
+            self.lender.begin(work)
+        except Busy as busy:
+            self.log(f"a task that runs here, of key {work.key:x}: {busy}")
+        else:
+            self.spawn(self.after(life, 0.0, lambda: self.lender.end(work)))
+        return life
+
+    def _restore(self) -> None:
+        """After a start: owners of what was out have gone; what was tried here may run for a while yet."""
+        self.carry(self.lender.restarted())
+        asyncio.get_running_loop().call_later(self._settle_s, self._settled, {
+            site: list(taker.taken) for site, taker in self.book.takers.items()})
+
+    def _settled(self, before: dict[str, list[Id]]) -> None:
+        """Nothing that a former gateway started runs any more."""
+        for site, ids in before.items():
+            self.carry(self.book.taker(site).restarted(ids), site)
+
+    def settle(self, life: Life, then: Callable[[], None]) -> None:
+        """Call once a task that was given up, or failed, can't run any more."""
+        self.spawn(self.after(life, self._settle_s, then))
+
+    async def after(self, life: Life, seconds: float, then: Callable[[], None]) -> None:
+        while not life.over:
+            await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(seconds)
+        then()
+
+    def leave(self, id: Id) -> None:
+        """Nobody here waits for a transfer any more."""
+        self._waiting.pop(id, None)
+
+    # ---- what crosses ----------------------------------------------------------------------------------
+
+    def work_of(self, task: ports.Task) -> Work:
+        cls = self.settings.classes[task.class_index]
+        tenants = self.settings.tenants
+        return Work(cls.name, cls.effect.name, task.key, task.service, task.cores, task.memory,
+                    tenants[task.tenant].name if tenants else "", self._front.names_of(task), 0)
+
+    def task_of(self, site: str, id: Id, work: Work, left_us: int) -> ports.Task:
+        tenants = [tenant.name for tenant in self.settings.tenants]
+        label, passed_on = self._front.guest(site, id, work)
+        return ports.Task(label, self._indexes[work.class_name], work.service, work.cores, work.memory,
+                          unix_us() + left_us, work.key,
+                          tenants.index(work.tenant) if work.tenant in tenants else 0, passed_on=passed_on)
+
+    def summary(self) -> Summary:
+        return self.room.summary(time.monotonic(), self.core.unanswered, len(self.core.lives), self.draining)
+
+    def choose(self, work: Work, left_us: int, crossed: frozenset[str]) -> str | Stays:
+        if self.book.full:
+            return Stays("the store takes nothing")
+        return self.router.choose(time.monotonic(), work, self.summary(), left_us / 1e6, crossed)
+
+    async def lend(self, site: str, work: Work, left_us: int, crossing: Crossing) -> Id:
+        """Hand a task over: written down first. Raises Busy where that can't be done now."""
+        work = replace(work, hops=work.hops + 1)
+        id, effects = self.lender.lend(site, work, left_us)
+        self._waiting[id] = (crossing, unix_us() + left_us)
+        write, *rest = effects
+        try:
+            await self.book.may([records.lent(write.record)])
+        except LogError as fault:
+            self.lender.never_left(id)
+            del self._waiting[id]
+            raise Busy(f"the store takes nothing: {fault}") from None
+        self.router.sent(time.monotonic(), site, work)
+        self.carry(rest)
+        return id
+
+    def time_up(self, id: Id) -> None:
+        one = self.lender.lent.get(id)
+        if one is not None and one.phase is lending.Lending.OUT:
+            self.router.failed(time.monotonic(), one.site)
+            self.carry(self.lender.time_up(id))
+
+    # ---- carrying effects out --------------------------------------------------------------------------
+
+    def carry(self, effects: list, site: str = "") -> None:
+        """Carry effects out in order: what follows a record waits until it is on the disk."""
+        for n, effect in enumerate(effects):
+            if isinstance(effect, lending.Write | taking.Write):
+                record = records.lent(effect.record) if isinstance(effect, lending.Write) \
+                    else records.taken(site, effect.record)
+                self.book.must([record]).add_done_callback(
+                    lambda done, rest=effects[n + 1:]: done.cancelled() or self.carry(rest, site))
+                return
+            self._carry(effect)
+
+    def _carry(self, effect: object) -> None:
+        match effect:
+            case lending.Say(site, word) | taking.Say(site, word):
+                self.links[site].send(WORDS, frames.encode_word(word))
+            case lending.Answer(id) | lending.TakeBack(id):
+                if waiting := self._waiting.get(id):
+                    if not (isinstance(effect, lending.Answer) and effect.answer == "placed"):
+                        del self._waiting[id]
+                    waiting[0].tell(effect)
+            case lending.Over(id):
+                if waiting := self._waiting.pop(id, None):
+                    waiting[0].tell(effect)
+            case taking.Try(site, id, work, left_us):
+                self._welcome(site, id, work, left_us)
+            case taking.GiveUp(site, id):
+                if guest := self.guests.get((site, id)):
+                    guest.give_up()
+            case taking.Free(site, id, cause):
+                if guest := self.guests.get((site, id)):
+                    guest.free(cause)
+
+    def _welcome(self, site: str, id: Id, work: Work, left_us: int) -> None:
+        """A task of another site comes to this site's core, or is returned where it can't start here."""
+        cls = self._indexes.get(work.class_name)
+        why = "" if cls is not None else f"no class is named {work.class_name!r} here"
+        if not why and self.settings.classes[cls].effect.name != work.effect:
+            why = f"class {work.class_name!r} has another effect here"
+        try:
+            why = why or self._front.admits(work)
+            self.lender.begin(work) if not why else None
+        except Busy as busy:
+            why = str(busy)
+        if not why:
+            try:
+                self.guests[site, id] = Guest(self, site, id, work, left_us)
+                return
+            except ValueError as fault:
+                self.lender.end(work)
+                why = str(fault)
+        self.log(f"site {site}: transfer {id[0]}-{id[1]} is returned: {why}")
+        self.carry(self.book.taker(site).given_back(id), site)
+
+    # ---- links -----------------------------------------------------------------------------------------
+
+    def _link_up(self, site: str) -> None:
+        self._down.pop(site, None)
+        self.router.link(time.monotonic(), site, True)
+        self._say_again(site)
+        self._tell(site)
+
+    def _link_down(self, site: str) -> None:
+        self._down[site] = time.monotonic()
+        self.router.link(time.monotonic(), site, False)
+
+    def _hear(self, site: str, stream: int, payload: bytes) -> None:
+        if stream == SUMMARIES:
+            self.router.told(time.monotonic(), site, frames.decode_summary(payload),
+                             self.links[site].session.delay_s)
+            return
+        if stream != WORDS:
+            raise Faulty(f"stream {stream} is not spoken here")
+        word = frames.decode_word(payload)
+        if isinstance(word, words.ToTaker):
+            if isinstance(word, words.Offered) and self.book.full:
+                return  # it will be said again
+            self.carry(self.book.taker(site).hear(word, self.draining), site)
+            return
+        one, now = self.lender.lent.get(word.id), time.monotonic()
+        if one is not None and one.site == site:
+            if isinstance(word, words.Stood | words.Ended):
+                self._front.ran(one.work)
+            match word:
+                case words.Stood() if one.phase is lending.Lending.OUT:
+                    self.router.placed(now, site)
+                case words.Returned():
+                    self.router.returned(now, site, one.work)
+                    self.router.over(site)
+                case words.Ended():
+                    self.router.over(site)
+        self.carry(self.lender.hear(site, word))
+
+    def _say_again(self, site: str) -> None:
+        now = unix_us()
+        left = {id: deadline - now for id, (_, deadline) in self._waiting.items()}
+        for say in self.lender.repeat(site, left):
+            self._carry(say)
+        for say in self.book.taker(site).repeat():
+            self._carry(say)
+
+    def _tell(self, site: str) -> None:
+        self.links[site].send(SUMMARIES, frames.encode_summary(self.summary()))
+
+    async def _tick(self) -> None:
+        """Summaries, repeats, and safe work taken back from sites that say nothing."""
+        repeated = time.monotonic()
+        while True:
+            await asyncio.sleep(TELL_S / 2)
+            now = time.monotonic()
+            for site, link in self.links.items():
+                if link.up:
+                    self._tell(site)
+                    if now - repeated >= REPEAT_S:
+                        self._say_again(site)
+                elif now - self._down.get(site, 0.0) > SILENT_S:
+                    for id in [id for id, one in self.lender.lent.items() if one.site == site]:
+                        self.carry(self.lender.silent(id))
+            if now - repeated >= REPEAT_S:
+                repeated = now
+
+    # ---- for operators ---------------------------------------------------------------------------------
+
+    def status(self) -> dict:
+        """Links, epochs, what is out where, and what is in doubt and why."""
+        now = time.monotonic()
+        out = {}
+        for site, link in self.links.items():
+            known, lent = self.router.sites[site], [one for one in self.lender.lent.values()
+                                                    if one.site == site]
+            phases = [one.phase for one in lent]
+            out[site] = {
+                "up": link.up, "doubt": link.doubt, "breaks": link.breaks,
+                "delay_ms": round(link.session.delay_s * 1000, 1), "epoch": self.book.known(site)[0],
+                "lent": {phase.value: phases.count(phase) for phase in lending.Lending if phase in phases},
+                "taken": sum(one.phase in taking.OPEN for one in self.book.taker(site).taken.values()),
+                "left_out_s": round(max(0.0, known.left_out - now), 1),
+                "told": None if known.told is None else {
+                    "age_s": round(now - known.told_at, 1), "free": dict(known.told.free),
+                    "size": known.told.size, "waiting": known.told.waiting,
+                    "draining": known.told.draining},
+                "in_doubt": [{"id": f"{one.id[0]}-{one.id[1]}", "class": one.work.class_name,
+                              "key": f"{one.work.key:x}", "phase": one.phase.value,
+                              "why": "its link is down" if not link.up else "its end is awaited"}
+                             for one in lent if one.phase is lending.Lending.CALLED_BACK][:100]}
+        return {"site": self.name, "epoch": self.book.epoch, "draining": self.draining, "sites": out}
+
+    def forget(self, site: str) -> int:
+        """An operator vouches that nothing of ours runs there; how many transfers are over with it."""
+        out = self.lender.out(site)
+        self.carry(self.lender.forget(site))
+        return out
+
+    def close(self) -> None:
+        """Give back every socket and task at once; what was taken gets no more answers."""
+        for task in [*self._tasks, *(crossing.running for crossing in self.crossings)]:
+            task.cancel()
+        for link in self.links.values():
+            link.close()
--- /dev/null
+++ b/weldhatch/sites/frames.py
@@ -0,0 +1,107 @@
+"""The wire of the link: four bytes of length, then one MessagePack array, whose first item tells its kind.
+
+Read and written by msgspec, which is imported only where a gateway has sites. Every frame is checked whole:
+what does not fit its kind is `Faulty`, and the connection ends with one line in the log.
+"""
+
+from __future__ import annotations
+
+from struct import Struct
+
+import msgspec
+
+from weldhatch.net.ring import Ring
+from weldhatch.sites import words
+from weldhatch.sites.routing import Summary
+from weldhatch.sites.session import Ack, Beat, Faulty, Frame, Hello, Message
+
+VERSION = 1
+FRAME_MOST = 16 * 1024 - 4  # with its length, a message of `net.connection`
+_LENGTH = Struct(">I")
+
+_KINDS: dict[int, type] = {1: Hello, 2: Message, 3: Ack, 4: Beat}
+_WORDS: dict[int, type] = {
+    1: words.Offered, 2: words.Withdrawn, 3: words.Freed, 4: words.Closed, 5: words.Floor,
+    6: words.Taken, 7: words.Stood, 8: words.Returned, 9: words.Ended}
+_KIND_OF = {kind: number for number, kind in _KINDS.items()}
+_WORD_OF = {kind: number for number, kind in _WORDS.items()}
+_pack, _unpack = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder().decode
+
+
+def _fields(value: object) -> list:
+    return [getattr(value, name) for name in value.__slots__]
+
+
+def _made(kinds: dict[int, type], data: bytes, what: str) -> object:
+    try:
+        number, *fields = _unpack(data)
+        kind = kinds[number]
+        return msgspec.convert(dict(zip(kind.__slots__, fields, strict=True)), kind)
+    except (msgspec.MsgspecError, KeyError, ValueError, TypeError, RecursionError) as fault:
+        raise Faulty(f"{what} that can't be read: {type(fault).__name__}: {str(fault)[:120]}") from None
+
+
+def encode(frame: Frame) -> bytes:
+    """A frame as it goes out. Raises ValueError for one that is too long."""
+    data = _pack([_KIND_OF[type(frame)], *_fields(frame)])
+    if len(data) > FRAME_MOST:
+        raise ValueError(f"a frame of {len(data)} bytes; {FRAME_MOST} are the most")
+    return _LENGTH.pack(len(data)) + data
+
+
+def decode(data: bytes) -> Frame:
+    """The frame of these bytes, without their length. Raises Faulty."""
+    return _made(_KINDS, data, "a frame")
+
+
+def parse(ring: Ring) -> Frame | None:
+    """The next whole frame of a ring; None where there is none yet. Raises Faulty."""
+    if len(ring) < _LENGTH.size:
+        return None
+    (length,) = _LENGTH.unpack(ring.copy(_LENGTH.size))
+    if length > FRAME_MOST:
+        raise Faulty(f"a frame of {length} bytes; {FRAME_MOST} are the most")
+    if len(ring) < _LENGTH.size + length:
+        return None
+    return decode(ring.take(_LENGTH.size + length)[_LENGTH.size:])
+
+
+def encode_word(word: words.ToTaker | words.ToLender) -> bytes:
+    return _pack([_WORD_OF[type(word)], *_fields(word)])
+
+
+def decode_word(payload: bytes) -> words.ToTaker | words.ToLender:
+    """Raises Faulty."""
+    return _made(_WORDS, payload, "a word")
+
+
+def encode_summary(summary: Summary) -> bytes:
+    return _pack([dict(summary.free), summary.size, summary.waiting, summary.draining])
+
+
+def decode_summary(payload: bytes) -> Summary:
+    """Raises Faulty."""
+    try:
+        free, size, waiting, draining = msgspec.convert(
+            _unpack(payload), tuple[dict[str, int], int, int, bool])
+    except (msgspec.MsgspecError, ValueError, RecursionError) as fault:
+        raise Faulty(f"a summary that can't be read: {str(fault)[:120]}") from None
+    return Summary(free, size, waiting, draining)
+
+
+def encode_record(record: tuple) -> bytes:
+    """A record of the hand-over for the store: a JSON array, as all its records are."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(data: bytes) -> tuple:
+    """The record of these bytes. Raises ValueError for what is none."""
+    try:
+        word, *rest = msgspec.json.decode(data)
+        if word == "epoch":
+            return word, int(rest[0])
+        id = msgspec.convert(rest[0], tuple[int, int])
+        rest = [msgspec.convert(one, words.Work) if isinstance(one, dict) else one for one in rest[1:]]
+        return word, id, *rest
+    except (msgspec.MsgspecError, IndexError, TypeError, ValueError) as fault:
+        raise ValueError(f"a record that can't be read: {data[:80]!r}: {fault}") from None
--- /dev/null
+++ b/weldhatch/sites/words.py
@@ -0,0 +1,106 @@
+"""What two sites say of one transfer. Each word may be lost, doubled, late or overtaken by a later one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# A transfer's id, unique for ever at the site that lends: its store's epoch, and a serial within that.
+Id = tuple[int, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Work:
+    """One task as it crosses: what the taking site's module and machines need of it.
+
+    `cores` and `memory` in the units of the settings; `effect` is the class's, as in `interface.Effect`.
+    """
+
+    class_name: str
+    effect: str
+    key: int
+    service: int
+    cores: float
+    memory: float
+    tenant: str = ""
+    names: tuple[str, ...] = ()  # what the front passes on unread
+    hops: int = 0  # sites that it has crossed before
+
+
+# ---- from the lending site to the taking one ---------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Offered:
+    """Place it within `left_us` of hearing this. The right to start it goes along until it is returned."""
+
+    id: Id
+    work: Work
+    left_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class Withdrawn:
+    """Nobody waits for it any more: do not start it, and end it if it stands."""
+
+    id: Id
+
+
+@dataclass(slots=True, frozen=True)
+class Freed:
+    """The owner of a task that stands has ended it, with this cause."""
+
+    id: Id
+    cause: int
+
+
+@dataclass(slots=True, frozen=True)
+class Closed:
+    """The last word was heard and written down: it need not be said again."""
+
+    id: Id
+
+
+@dataclass(slots=True, frozen=True)
+class Floor:
+    """All transfers before this id are over at the lending site: no word of theirs means anything now."""
+
+    id: Id
+
+
+# ---- from the taking site to the lending one ---------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Taken:
+    """It was written down there, and its module decides."""
+
+    id: Id
+
+
+@dataclass(slots=True, frozen=True)
+class Stood:
+    """It stands; the description is its machine's, unchanged."""
+
+    id: Id
+    description: str
+
+
+@dataclass(slots=True, frozen=True)
+class Returned:
+    """It never started there and never will: the right to start it is the lending site's again."""
+
+    id: Id
+    wait_us: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """It is over there. Not `stood`: it may have run, and nobody was told that it stood."""
+
+    id: Id
+    cause: int
+    stood: bool
+
+
+ToTaker = Offered | Withdrawn | Freed | Closed | Floor
+ToLender = Taken | Stood | Returned | Ended
--- /dev/null
+++ b/weldhatch/standins/sites.py
@@ -0,0 +1,358 @@
+"""Every order of events of a few tasks between two sites: words lost, doubled and overtaken, crashes, ends.
+
+A model in the sense of model checking: from one state all events that could come next are tried, each state
+once (breadth first), and the promises are checked in each. The hand-over's own code runs in it; only the
+network, the disk and the machines are modelled. A record that stands before a word is on the disk before the
+word is out, and a crash may fall between any two effects.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from copy import copy
+from dataclasses import dataclass, field
+
+from weldhatch.sites import lending, taking
+from weldhatch.sites.lending import Lender, Lending
+from weldhatch.sites.taking import Taker, Taking
+from weldhatch.sites.words import Id, Work
+
+HOME, AWAY = "home", "away"
+
+
+class Broken(AssertionError):
+    """A promise that does not hold, with the events that led there."""
+
+
+@dataclass(slots=True)
+class Faults:
+    """How many of each fault one order of events may hold."""
+
+    lost: int = 1
+    doubled: int = 1
+    home_crashes: int = 1
+    away_crashes: int = 1
+
+    def key(self) -> tuple:
+        return self.lost, self.doubled, self.home_crashes, self.away_crashes
+
+
+@dataclass(slots=True)
+class World:
+    """One state: both sites in memory and on disk, words under way, tasks running, answers given."""
+
+    asks: tuple[Work, ...]
+    faults: Faults
+    lender: Lender = field(default_factory=lambda: Lender(1))
+    lender_disk: Lender = field(default_factory=lambda: Lender(1))
+    taker: Taker = field(default_factory=lambda: Taker(HOME))
+    taker_disk: Taker = field(default_factory=lambda: Taker(HOME))
+    there: tuple = ()  # words on their way to the taking site, in any order
+    here: tuple = ()  # to the lending site
+    trying: frozenset[Id] = frozenset()  # given to the core of the taking site, not decided
+    running: frozenset[tuple[str, object]] = frozenset()  # a site, and the request's number or transfer's id
+    starts: tuple[int, ...] = ()  # how often each request was started, anywhere
+    answers: tuple[tuple[str, ...], ...] = ()  # what each request was answered
+    asked: int = 0  # requests that have come
+    of: tuple[tuple[Id, int], ...] = ()  # which request a transfer is for
+    gone: frozenset[int] = frozenset()  # requests whose owner's time is over, or whose gateway died
+    mine: frozenset[int] = frozenset()  # requests that the lending site decides itself
+    past: tuple[str, ...] = ()
+
+    def key(self) -> tuple:
+        def lender(one: Lender) -> tuple:
+            return one.epoch, one.serial, tuple(one.lent.values()), tuple(one.keys.items()), tuple(one.here)
+
+        def taker(one: Taker) -> tuple:
+            return tuple(one.taken.values()), tuple(one.tombs), one.floor
+
+        return (self.faults.key(), lender(self.lender), lender(self.lender_disk), taker(self.taker),
+                taker(self.taker_disk), tuple(sorted(map(repr, self.there))),
+                tuple(sorted(map(repr, self.here))), self.trying, self.running, self.starts, self.answers,
+                self.asked, self.gone, self.mine)
+
+    def copied(self, event: str) -> World:
+        out = copy(self)
+        out.faults = copy(self.faults)
+        for name in ("lender", "lender_disk"):
+            one = copy(getattr(self, name))
+            one.lent, one.keys, one.here = dict(one.lent), dict(one.keys), set(one.here)
+            setattr(out, name, one)
+        for name in ("taker", "taker_disk"):
+            one = copy(getattr(self, name))
+            one.taken, one.tombs = dict(one.taken), dict(one.tombs)
+            setattr(out, name, one)
+        out.past = (*self.past, event)
+        return out
+
+    # ---- carrying effects out --------------------------------------------------------------------------
+
+    def carry(self, effects: list, upto: int | None = None) -> None:
+        """Carry effects out in order; `upto`: the process dies after so many."""
+        for effect in effects[:upto]:
+            match effect:
+                case lending.Write(record):
+                    self.lender_disk.take(record)
+                case taking.Write(record):
+                    self.taker_disk.take(record)
+                case lending.Say(_, word):
+                    self.there = (*self.there, word)
+                case taking.Say(_, word):
+                    self.here = (*self.here, word)
+                case lending.Answer(id, answer):
+                    self.answer(self.request(id), answer)
+                case lending.TakeBack(id):
+                    if self.request(id) not in self.gone:
+                        self.mine |= {self.request(id)}
+                case taking.Try(_, id):
+                    self.trying |= {id}
+                case taking.GiveUp() | taking.Free() | lending.Over():
+                    pass  # what follows is an event of its own
+        if upto is not None:
+            return
+
+    def request(self, id: Id) -> int:
+        return dict(self.of)[id]
+
+    def answer(self, request: int, answer: str) -> None:
+        if request in self.gone:
+            return  # its owner has gone: the front drops what comes for it
+        told = list(self.answers)
+        told[request] += (answer,)
+        self.answers = tuple(told)
+
+    def start(self, site: str, what: object, request: int) -> None:
+        self.running |= {(site, what)}
+        starts = list(self.starts)
+        starts[request] += 1
+        self.starts = tuple(starts)
+
+    # ---- what may come next ----------------------------------------------------------------------------
+
+    def events(self) -> Iterator[tuple[str, Callable[[World], list]]]:
+        """Each event that may come, with what it does; a crash may cut its effects off anywhere."""
+        if self.asked < len(self.asks):
+            yield f"ask {self.asked}", World._ask
+        for n, word in enumerate(self.there):
+            if word not in self.there[:n]:
+                yield f"deliver {word}", lambda w, n=n, word=word: w._deliver_there(n, word)
+        for n, word in enumerate(self.here):
+            if word not in self.here[:n]:
+                yield f"deliver {word}", lambda w, n=n, word=word: w._deliver_here(n, word)
+        for id in self.trying:
+            yield f"away places {id}", lambda w, id=id: w._places(id)
+            yield f"away refuses {id}", lambda w, id=id: w._refuses(id)
+            yield f"away fails {id}", lambda w, id=id: w._fails(id)
+        for site, what in self.running:
+            if site == AWAY:
+                yield f"away ends {what}", lambda w, what=what: w._away_ends(what)
+            else:
+                yield f"home ends {what}", lambda w, what=what: w._home_ends(what)
+        for id, one in self.lender.lent.items():
+            if one.phase is Lending.OUT:
+                yield f"time up {id}", lambda w, id=id: w.lender.time_up(id)
+                if one.work.effect == "SAFE":
+                    yield f"silent {id}", lambda w, id=id: w.lender.silent(id)
+            elif one.phase is Lending.STANDS:
+                yield f"freed {id}", lambda w, id=id: w.lender.freed(id, 16)
+        for request in self.mine:
+            yield f"home decides {request}", lambda w, request=request: w._home_decides(request)
+
+    def _ask(self) -> list:
+        request, work = self.asked, self.asks[self.asked]
+        self.asked += 1
+        self.starts, self.answers = (*self.starts, 0), (*self.answers, ())
+        try:
+            id, effects = self.lender.lend(AWAY, work, 1_000_000)
+        except lending.Busy:
+            self.answer(request, "refused")
+            return []
+        self.of = (*self.of, (id, request))
+        return effects
+
+    def _deliver_there(self, n: int, word: object) -> list:
+        self.there = self.there[:n] + self.there[n + 1:]
+        return self.taker.hear(word)
+
+    def _deliver_here(self, n: int, word: object) -> list:
+        self.here = self.here[:n] + self.here[n + 1:]
+        return self.lender.hear(AWAY, word)
+
+    def _places(self, id: Id) -> list:
+        self.trying -= {id}
+        self.start(AWAY, id, self.request(id))
+        return self.taker.stands(id, "d")
+
+    def _refuses(self, id: Id) -> list:
+        self.trying -= {id}
+        return self.taker.given_back(id)
+
+    def _fails(self, id: Id) -> list:
+        self.trying -= {id}
+        return self.taker.ended(id, 47)
+
+    def _away_ends(self, id: Id) -> list:
+        self.running -= {(AWAY, id)}
+        return self.taker.ended(id, 16)
+
+    def _home_ends(self, request: int) -> list:
+        self.running -= {(HOME, request)}
+        self.lender.end(self.asks[request])
+        return []
+
+    def _home_decides(self, request: int) -> list:
+        """The home site's module places what came back, if the right to start it is there; or refuses."""
+        self.mine -= {request}
+        try:
+            self.lender.begin(self.asks[request])
+        except lending.Busy:
+            self.answer(request, "refused")
+        else:
+            self.start(HOME, request, request)
+            self.answer(request, "placed")
+        return []
+
+    # ---- faults ----------------------------------------------------------------------------------------
+
+    def next(self) -> Iterator[World]:
+        """All states that may follow."""
+        for name, do in self.events():
+            after = self.copied(name)
+            effects = do(after)
+            for died in range(len(effects)) if effects else ():
+                home = isinstance(effects[0], lending.Write | lending.Say | lending.Answer | lending.TakeBack)
+                if (self.faults.home_crashes if home else self.faults.away_crashes) and died:
+                    cut = self.copied(f"{name}, and dies after {died} of {len(effects)} effects")
+                    cut.carry(do(cut), died)
+                    cut._home_crashes() if home else cut._away_crashes()
+                    yield cut
+            after.carry(effects)
+            yield after
+        if self.faults.lost:
+            for way in ("there", "here"):
+                for n, word in enumerate(getattr(self, way)):
+                    after = self.copied(f"lose {word}")
+                    setattr(after, way, getattr(self, way)[:n] + getattr(self, way)[n + 1:])
+                    after.faults.lost -= 1
+                    yield after
+        if self.faults.doubled:
+            for way in ("there", "here"):
+                for word in getattr(self, way):
+                    after = self.copied(f"double {word}")
+                    setattr(after, way, (*getattr(self, way), word))
+                    after.faults.doubled -= 1
+                    yield after
+        if self.faults.home_crashes and self.asked:
+            after = self.copied("home dies")
+            after._home_crashes()
+            yield after
+        if self.faults.away_crashes and self.taker_disk.taken:
+            after = self.copied("away dies")
+            after._away_crashes()
+            yield after
+
+    def _home_crashes(self) -> None:
+        """Its owners lose their gateway, and what it ran itself is looked after by its machines."""
+        self.faults.home_crashes -= 1
+        self.gone |= {n for n in range(self.asked) if not self.answers[n]}
+        self.mine = frozenset()
+        fresh = Lender(0)
+        for record in self.lender_disk.records():
+            fresh.take(record)
+        self.lender, self.lender_disk = fresh, copy(fresh)
+        self.lender_disk.lent, self.lender_disk.keys = dict(fresh.lent), dict(fresh.keys)
+        self.lender_disk.here = set()
+        # What this site's own machines run is taken up again with its key before anything is asked for.
+        self.lender.here = {work.key for site, what in self.running
+                            if site == HOME and lending.guarded(work := self.asks[what]) is not None}
+        for one in (self.lender, self.lender_disk):
+            one.take(("epoch", fresh.epoch + 1 if one is fresh else self.lender.epoch))
+        self.carry(self.lender.restarted())
+
+    def _away_crashes(self) -> None:
+        """What it started runs on at its machines; it speaks again once that must have ended."""
+        self.faults.away_crashes -= 1
+        self.trying = frozenset()
+        self.running = frozenset(one for one in self.running if one[0] != AWAY)
+        fresh = Taker(HOME)
+        for record in self.taker_disk.records():
+            fresh.take(record)
+        self.taker, self.taker_disk = fresh, copy(fresh)
+        self.taker_disk.taken, self.taker_disk.tombs = dict(fresh.taken), dict(fresh.tombs)
+        self.carry(self.taker.restarted())
+
+    # ---- promises --------------------------------------------------------------------------------------
+
+    def check(self) -> None:
+        """What holds in every state. Raises Broken."""
+        for request, told in enumerate(self.answers):
+            if len(told) > 1:
+                self.broken(f"request {request} got {told}")
+        for request, count in enumerate(self.starts):
+            if self.asks[request].effect != "SAFE" and count > 1:
+                self.broken(f"request {request}, which may not start twice, did")
+        keys = [work.key for site, what in self.running
+                if (work := self.asks[what if site == HOME else self.request(what)]).effect != "SAFE"]
+        if len(keys) != len(set(keys)):
+            self.broken(f"two copies of one key run: {sorted(map(str, self.running))}")
+
+    def settled(self) -> World:
+        """The same after the link has healed: both sides repeat, and all that runs comes to its end."""
+        after = self.copied("the link heals")
+        after.asked = len(after.asks) if after.asked else 0
+        after.starts += (0,) * (len(after.asks) - len(after.starts))
+        after.answers += (("unasked",),) * (len(after.asks) - len(after.answers))
+        for _ in range(8):
+            after.carry(list(after.lender.repeat(AWAY, {})))
+            after.carry(list(after.taker.repeat()))
+            while after.there or after.here or after.trying or after.mine:
+                if after.there:
+                    after.carry(after._deliver_there(0, after.there[0]))
+                elif after.here:
+                    after.carry(after._deliver_here(0, after.here[0]))
+                elif after.trying:
+                    after.carry(after._refuses(min(after.trying)))
+                else:
+                    after.carry(after._home_decides(min(after.mine)))
+                after.check()
+            for site, what in sorted(after.running, key=str):
+                after.carry(after._away_ends(what) if site == AWAY else after._home_ends(what))
+        return after
+
+    def check_settled(self) -> None:
+        after = self.settled()
+        if after.lender.lent or after.lender.keys:
+            after.broken(f"still lent after all has settled: {list(after.lender.lent.values())}")
+        if open := [one for one in after.taker.taken.values() if one.phase in taking.OPEN]:
+            after.broken(f"still taken after all has settled: {open}")
+        for request, told in enumerate(after.answers):
+            if len(told) != 1 and request not in after.gone:
+                after.broken(f"request {request} got {told or 'no answer'}")
+
+    def broken(self, what: str) -> None:
+        raise Broken(what + "\n  " + "\n  ".join(self.past))
+
+
+def explore(asks: tuple[Work, ...], faults: Faults, most: int = 10_000_000) -> int:
+    """Try every order of events; how many states there are. Raises Broken, with the shortest way there.
+
+    Raises OverflowError past `most` states: then not every order was tried.
+    """
+    first = World(asks, faults)
+    seen, line = {first.key()}, deque([first])
+    while line:
+        world = line.popleft()
+        world.check()
+        if not (world.there or world.here or world.trying or world.mine):
+            world.check_settled()  # all others lead to such states, by words that are heard or lost
+        for after in world.next():
+            if (key := hash(after.key())) not in seen:
+                seen.add(key)
+                line.append(after)
+                if len(seen) > most:
+                    raise OverflowError(f"more than {most} states")
+    return len(seen)
+
+
+__all__ = ["AWAY", "HOME", "Broken", "Faults", "Taking", "World", "explore"]
