--- a/tests/test_abroad.py
+++ b/tests/test_abroad.py
@@ -3,17 +3,23 @@
 import asyncio
 import json
 import tempfile
+import time
+from dataclasses import replace
 from pathlib import Path
 from typing import ClassVar
 
 import pytest
+from click.testing import CliRunner
 from scenario import SETTINGS, Client, Scenario
 from test_pullqueue import bot, lease, task
 
 from weldhatch import config
+from weldhatch.cli.sites import sites
 from weldhatch.config import ConfigError
 from weldhatch.policy import Policy
+from weldhatch.pullqueue.control import Control
 from weldhatch.pullqueue.front import PullQueue
+from weldhatch.sites.lending import Lending
 
 PLAIN = {"name": "a", "listen": "127.0.0.1:0", "store": "s", "peers": {"b": "127.0.0.1:1"}}
 
@@ -90,6 +96,47 @@
                               + json.dumps({"leases": [{"id": "$lease", "state": "ACTIVE"}]}))
         await self.at(self.b, "p1 expect 200 leases.0.state=CANCELLED")
 
+    async def weldhatch(self, *words):
+        """A command against a's control address, as its own process would run it."""
+        control = Control({}, ("127.0.0.1", 0), self.a, lambda tree: None, self.logged.append, time.time)
+        host, port = control.listener.address
+        try:
+            return await asyncio.to_thread(
+                CliRunner().invoke, sites, [*words, "--control", f"{host}:{port}"])
+        finally:
+            control.abort()
+
+    async def test_the_command_line_tells_what_is_out_and_ends_with_0_where_all_is_well(self):
+        await self.crosses()
+        result = await self.weldhatch("status", "--json")
+        told = json.loads(result.output)["sites"]["b"]
+        self.assertEqual((0, True, {"stands": 1}), (result.exit_code, told["up"], told["lent"]))
+        shown = await self.weldhatch("status")
+        self.assertIn("site a, epoch 1", shown.output)
+
+    async def test_a_link_that_is_down_and_a_task_in_doubt_are_told_and_end_with_1(self):
+        await self.crosses()
+        self.b.abort()
+        await self.until(lambda: not self.a.sites.links["b"].up, "the link is down")
+        (one,) = self.a.sites.lender.lent.values()
+        self.a.sites.lender.lent[one.id] = replace(one, phase=Lending.CALLED_BACK)
+        result = await self.weldhatch("status")
+        self.assertEqual(1, result.exit_code)
+        self.assertIn("in doubt at b: 1-1, unsafe key a1: its link is down", result.output.replace("\n", " "))
+
+    async def test_an_operator_drains_a_site_and_forgets_another_only_when_sure(self):
+        await self.crosses()
+        self.assertIn("nothing new", (await self.weldhatch("drain")).output)
+        self.assertTrue(self.a.sites.draining)
+        await self.weldhatch("drain", "--undo")
+        self.assertFalse(self.a.sites.draining)
+        self.assertEqual(2, (await self.weldhatch("forget", "b")).exit_code)
+        self.assertEqual(1, len(self.a.sites.lender.lent))
+        self.assertIn("1 transfers to b are over", (await self.weldhatch("forget", "b", "--yes")).output)
+        self.assertFalse(self.a.sites.lender.lent)
+        result = await self.weldhatch("forget", "nowhere", "--yes")
+        self.assertIn("no site is named 'nowhere'", str(result.exception))
+
 
 @pytest.mark.parametrize("change, fault", [
     ({"name": ""}, "sites.name"), ({"store": 5}, "sites.store"), ({"listen": "x"}, "sites.listen"),
--- a/tests/test_sites_wire.py
+++ b/tests/test_sites_wire.py
@@ -131,6 +131,8 @@
     echo = next(frame for frame in b.frames(1.2) if isinstance(frame, Beat))
     a.hear(1.4, echo)
     assert a.delay_s == pytest.approx(0.2)
+    a.send(0, b"talk")  # what is said otherwise puts off no beat: the delay is measured all the same
+    assert [type(frame) for frame in a.frames(2.1)] == [Message, Beat]
     assert not a.dead(1.3 + session.DEAD_S) and a.dead(1.5 + session.DEAD_S)
 
 
--- a/weldhatch/cli/main.py
+++ b/weldhatch/cli/main.py
@@ -65,6 +65,7 @@
         return self._load().get_command(ctx, name)
 
 
+root.add_command(Later("sites", "weldhatch.cli.sites", "Other sites: what is lent, taken and in doubt."))
 root.add_command(Later("keys", "weldhatch.cli.keys", "Certificates and tokens for the pull queue."))
 
 
--- a/weldhatch/plans.py
+++ b/weldhatch/plans.py
@@ -97,6 +97,13 @@
     def apply(self, plan: Mapping) -> dict:
         return self._call("POST", "apply", plan)
 
+    def sites(self) -> dict:
+        """What crosses between its site and others."""
+        return self._call("GET", "sites", None)
+
+    def sites_word(self, word: Mapping) -> dict:
+        return self._call("POST", "sites", word)
+
     def _call(self, method: str, path: str, body: Mapping | None) -> dict:
         host, port = self._address
         connection = http.client.HTTPConnection(host, port, timeout=10)
--- a/weldhatch/pullqueue/control.py
+++ b/weldhatch/pullqueue/control.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream
 
@@ -17,6 +18,9 @@
 from weldhatch.pullqueue.http import HttpLink, Request
 from weldhatch.pullqueue.operators import WordError, read_word
 
+if TYPE_CHECKING:  # its libraries are imported only where there are sites
+    from weldhatch.sites.crossing import Sites
+
 CONNECTIONS = 8
 
 
@@ -63,6 +67,10 @@
                 return self._apply(request.json()), {}
             case "GET", "/v1/machines":
                 return {"machines": self._machines()}, {}
+            case "GET", "/v1/sites":
+                return self._sites().status(), {}
+            case "POST", "/v1/sites":
+                return self._sites_word(request.json()), {}
             case "PUT", path if path.startswith("/v1/machines/"):
                 return self._operate(path.removeprefix("/v1/machines/"), request.json()), {}
         raise HttpError(404, "path: nothing is there", "path")
@@ -93,6 +101,27 @@
         self._log(f"applied a plan of {len(todo)} changes")
         return {"applied": len(todo), "restarting": any(change["restart"] for change in todo)}
 
+    def _sites(self) -> Sites:
+        if self._front.sites is None:
+            raise HttpError(404, "sites: this gateway knows of no other site", "sites")
+        return self._front.sites
+
+    def _sites_word(self, tree: dict) -> dict:
+        """An operator's word on what crosses: draining, or a site to be forgotten."""
+        sites = self._sites()
+        match tree:
+            case {"draining": bool(draining)}:
+                sites.draining = draining
+                self._log(f"operator: {'takes nothing new' if draining else 'takes new work again'}")
+                return {"draining": draining}
+            case {"forget": str(site)} if site in sites.links:
+                forgotten = sites.forget(site)
+                self._log(f"operator: {forgotten} transfers to site {site} are over")
+                return {"forgotten": forgotten}
+            case {"forget": site}:
+                raise HttpError(400, f"forget: no site is named {site!r}", "forget")
+        raise HttpError(400, "draining: true or false, or forget: a site's name, is needed", "draining")
+
     def _machines(self) -> dict[str, dict]:
         """All machines that are known here, or that an operator has said something of."""
         known = self._front.bots.machines()
--- a/weldhatch/sites/crossing.py
+++ b/weldhatch/sites/crossing.py
@@ -1,8 +1,8 @@
 """One gateway among several sites: it stands where the core stands for a front, and passes on what crosses.
 
-A request is one coroutine (`Crossing`): home's own module first, for a share of its time where another site
-could take it; then at most one other site at a time; then home again. A task that comes from another site
-goes through this site's core as any other request does.
+A request is one coroutine (`Crossing`): it stays where home has room or no other site has, goes to one other
+site at a time where the routing says so, and home's own module decides on what comes back. A task that comes
+from another site goes through this site's core as any other request does.
 """
 
 from __future__ import annotations
@@ -31,7 +31,8 @@
 from weldhatch.store.log import LogError
 
 WORDS, SUMMARIES = 0, 1  # streams of a link
-HOME_SHARE = 0.4  # the part of a request's time that home has, where another site could take it
+HOME_SHARE = 0.4  # the part of the time left that home has before other sites are looked at again
+LOOK_LEAST_US = 200_000  # with less time left than this home has it all
 SPARE_US = 30_000  # an answer from another site has to be here so long before the deadline
 TELL_S = 0.5  # between two summaries
 REPEAT_S = 1.0  # between two looks at what another site has not confirmed
@@ -135,55 +136,45 @@
     # ---- from the arrival to the final answer ----------------------------------------------------------
 
     async def _decide(self) -> object | None:
-        """Home, then other sites, then home again; what looks after the task where it stands, or None."""
+        """Where the room is told to be, then home; what looks after the task where it stands, or None.
+
+        Home, while no other site has room, for a share of the time that is left: then it is looked again.
+        """
         # A task that may go to certain machines only stays with them.
         crossed = set() if self.task.only is None else set(self._sites.links)
-        wait_us, wants_home = 0, True
+        wait_us = 0
         while self._left_us() > SPARE_US:
             to = self._sites.choose(self.work, self._left_us(), frozenset(crossed))
-            if wants_home and not self._sites.draining:
-                here = await self._at_home(self._left_us() if isinstance(to, Stays)
-                                           else int(HOME_SHARE * self._left_us()))
-                match here:
-                    case AtHome("placed", description):
-                        self._owner.placed(description)
-                        return self._stand_at_home()
-                    case AtHome("refused", _, wait):
-                        wait_us = wait
-                    case AtHome():
-                        self._owner.failed()
-                        return None
-                    case Busy():
-                        self._owner.refused(BUSY_WAIT_US)
-                        return None
-                    case None:
-                        return None  # given up
-                to = self._sites.choose(self.work, self._left_us(), frozenset(crossed))
             if isinstance(to, Stays):
-                if not wants_home and not self._sites.draining:
-                    wants_home = True
-                    continue
-                break
-            crossed.add(to)
-            wants_home = False
-            there = await self._lend(to)
-            match there:
+                if self._sites.draining:
+                    break
+                last = len(crossed) >= len(self._sites.links) or self._left_us() < LOOK_LEAST_US
+                word = await self._at_home(int(self._left_us() * (1.0 if last else HOME_SHARE)))
+            else:
+                crossed.add(to)
+                word = await self._lend(to)
+            match word:
+                case AtHome("placed", description):
+                    self._owner.placed(description)
+                    return self._stand_at_home()
                 case lending.Answer(id, "placed", description):
                     self._owner.placed(description)
                     return self._stand_there(id)
+                case AtHome("refused", _, wait) | lending.TakeBack(_, wait):
+                    wait_us = max(wait_us, wait)
+                    if isinstance(word, AtHome) and last:
+                        break
                 case lending.Answer(_, "refused", _, wait):
                     self._owner.refused(wait)
                     return None
-                case lending.Answer():
+                case AtHome() | lending.Answer():
                     self._owner.failed()
                     return None
-                case lending.TakeBack(_, wait):
-                    wait_us = max(wait_us, wait)
                 case Busy():
                     self._owner.refused(BUSY_WAIT_US)
                     return None
                 case None:
-                    return None
+                    return None  # given up
         self._owner.refused(wait_us)
         return None
 
--- a/weldhatch/sites/session.py
+++ b/weldhatch/sites/session.py
@@ -19,7 +19,7 @@
 LINE_MOST = 1024  # messages of a stream that wait for credit; more are refused, and their sender is told
 ACK_EVERY = 16  # messages heard before an acknowledgement goes out by itself
 ACK_S = 0.02  # or after this, if there is less to acknowledge
-BEAT_S = 1.0  # a side that has said nothing for so long says that it is there
+BEAT_S = 1.0  # a beat goes out as often: it shows that a side is there, and measures the delay
 DEAD_S = 3.5  # a connection on which nothing is heard for so long is given up
 STREAMS_MOST = 8
 
@@ -108,7 +108,7 @@
     _turn: int = 0
     _to_send: deque[Message] = field(default_factory=deque)
     _owed_since: float = -1.0
-    _said: float = 0.0
+    _beaten: float = 0.0
     _last: float = 0.0  # when anything was heard
     _echo: int = 0
 
@@ -123,7 +123,7 @@
             raise Faulty(f"the other side has heard up to {heard_there}, of {self.number} that were sent")
         self._acknowledged(heard_there)
         self._to_send = deque(self.kept)
-        self._said = self._last = now
+        self._beaten = self._last = now
         for line in self.lines.values():
             line.told = 0  # guards against a credit that went down with the old connection
         self._owed_since = now - ACK_S if self.lines else -1.0
@@ -152,7 +152,6 @@
             frame = self._next(now)
             if frame is None:
                 return
-            self._said = now
             yield frame
 
     def _next(self, now: float) -> Frame | None:
@@ -172,9 +171,10 @@
                 message = Message(self.number, stream, line.waiting.popleft())
                 self.kept.append(message)
                 return message
-        if self._echo or now - self._said >= BEAT_S:
+        if self._echo or now - self._beaten >= BEAT_S:
             echo, self._echo = self._echo, 0
-            return Beat(int(now * 1e6), echo)
+            asks, self._beaten = now - self._beaten >= BEAT_S, now
+            return Beat(int(now * 1e6) if asks else 0, echo)
         return None
 
     def _ack(self) -> Ack:
--- a/weldhatch/standins/wire.py
+++ b/weldhatch/standins/wire.py
@@ -47,7 +47,8 @@
                 asyncio.create_task(self._pass(there, writer, "from"))]
         self._tasks |= set(ways)
         try:
-            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            with contextlib.suppress(asyncio.CancelledError):  # at its end
+                await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for way in ways:
                 way.cancel()
