Give links mutual TLS, and give back the descriptor of a TLS handshake that fails

Seen while testing it: a client that speaks no TLS to a TLS address ended in AttributeError in shake_hands, and its descriptor was not given back. Cause, in pullqueue/security.py: start_tls has taken the socket from the stream by then, so stream.close() fails; the pull queue's front had this since it has TLS. Ruled out: the budget and the listener (the slot is held by the failed task alone).

Change: the handshake is one function, net/tls.py, for both fronts' listeners; it keeps a second handle of the socket and shuts that down where the handshake fails. [sites] takes keys = FOLDER: a site shows the certificate of its name, and one that shows another's is turned away.

--- a/tests/test_abroad.py
+++ b/tests/test_abroad.py
@@ -1,6 +1,7 @@
 """Two pull queues as two sites: a submitter at one, a build machine at the other."""
 
 import asyncio
+import datetime
 import json
 import tempfile
 import time
@@ -16,10 +17,16 @@
 from weldhatch import config
 from weldhatch.cli.sites import sites
 from weldhatch.config import ConfigError
+from weldhatch.keys.folder import Folder
+from weldhatch.net.budget import Budget, Share
 from weldhatch.policy import Policy
+from weldhatch.pullqueue import abroad
 from weldhatch.pullqueue.control import Control
 from weldhatch.pullqueue.front import PullQueue
+from weldhatch.sites import frames
 from weldhatch.sites.lending import Lending
+from weldhatch.sites.link import Link
+from weldhatch.sites.session import Hello
 
 PLAIN = {"name": "a", "listen": "127.0.0.1:0", "store": "s", "peers": {"b": "127.0.0.1:1"}}
 
@@ -45,14 +52,14 @@
         self.b.abort()
         await super().asyncTearDown()
 
-    def begin(self, name, peers):
+    def begin(self, name, peers, **more):
         settings = json.loads(json.dumps(SETTINGS))
         settings["extra"] |= {"cpuBooking": 1, "memBooking": 1}
         told = config.pull_queue({
             "enabled": True, "listen": "127.0.0.1:0", "store": str(self.folder / f"queue-{name}"),
             "timing": self.timing, "settings": settings,
             "sites": {"name": name, "listen": "127.0.0.1:0", "store": str(self.folder / name),
-                      "peers": peers}})
+                      "peers": peers, **more}})
         return PullQueue(told, Policy(told.settings, 5), self.logged.append)
 
     async def at(self, gateway, text):
@@ -138,11 +145,55 @@
         self.assertIn("no site is named 'nowhere'", str(result.exception))
 
 
+class Certified(Abroad):
+    """Both sites have certificates of one authority; each shows its own."""
+
+    async def asyncSetUp(self):
+        self.keys = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        folder, now = Folder(self.keys), datetime.datetime.now(datetime.UTC)
+        folder.begin("sites", now)
+        folder.certify("gateway", ["127.0.0.1"], True, now, 10)
+        for name in ("a", "b", "c"):
+            folder.certify(name, [], False, now, 10)
+        await super().asyncSetUp()
+
+    def begin(self, name, peers, **more):
+        return super().begin(name, peers, keys=str(self.keys), **more)
+
+    async def test_a_site_that_shows_the_certificate_of_another_is_turned_away(self):
+        folder = Folder(self.keys)
+        link = self.a.sites.links["b"]
+        link.close()
+        share = Share(Budget(64), 8)
+        other = Link("a", "b", self.a._sites_book, link._ears, self.logged.append)
+        other.dial(self.b._door.listener.address, share, folder.client_context("c"))
+        await self.until(lambda: "shows the certificate of 'c'" in " ".join(self.logged), "it is turned away")
+        self.assertFalse(self.b.sites.links["a"].up)
+        other.close()
+
+    async def test_a_site_without_a_certificate_is_turned_away(self):
+        self.a.sites.links["b"].close()
+        await self.until(lambda: not self.b.sites.links["a"].up, "the link is down")
+        held = self.b._door._share.held
+        _, writer = await asyncio.open_connection(*self.b._door.listener.address)
+        writer.write(frames.encode(Hello(1, "a", 9, "t", (0, ""), "s", 0, True)))
+        await self.until(lambda: "no TLS" in " ".join(self.logged), "it is turned away")
+        await self.until(lambda: self.b._door._share.held == held, "its descriptor is given back")
+        writer.close()
+
+
+def test_a_missing_certificate_is_named(tmp_path):
+    told = config.pull_queue({"enabled": True, "listen": "127.0.0.1:0", "settings": SETTINGS,
+                              "sites": {**PLAIN, "store": str(tmp_path / "s"), "keys": str(tmp_path)}})
+    with pytest.raises(ConfigError, match=r"sites.keys: .*server.pem"):
+        abroad._contexts(told.sites)
+
+
 @pytest.mark.parametrize("change, fault", [
     ({"name": ""}, "sites.name"), ({"store": 5}, "sites.store"), ({"listen": "x"}, "sites.listen"),
     ({"peers": {}}, "sites.peers"), ({"peers": {"b": "nowhere"}}, "sites.peers.b"),
     ({"peers": {"a": "127.0.0.1:1"}}, "sites.peers.a"), ({"peers": {"b": 7}}, "sites.peers.b"),
-    ({"hops": 3}, "sites.hops")])
+    ({"hops": 3}, "sites.hops"), ({"keys": 3}, "keys")])
 def test_a_faulty_key_is_named(change, fault):
     tree = {"enabled": True, "settings": SETTINGS, "sites": {**PLAIN, **change}}
     with pytest.raises(ConfigError, match=fault):
--- a/weldhatch/config.py
+++ b/weldhatch/config.py
@@ -325,6 +325,7 @@
     listen: tuple[str, int]
     store: str  # the folder of what was lent and taken
     peers: Mapping[str, tuple[str, int]]  # where each of the others listens
+    keys: str = ""  # a folder of `weldhatch keys`, for mutual TLS on the links; '' for none
 
 
 @dataclass(slots=True, frozen=True)
@@ -422,7 +423,7 @@
     if not told:
         return None
     for key in told:
-        if key not in ("name", "listen", "store", "peers"):
+        if key not in ("name", "listen", "store", "peers", "keys"):
             raise ConfigError(f"sites.{key} is no key of a pull queue's file")
     for key in ("name", "store"):
         if not isinstance(told.get(key), str) or not told[key]:
@@ -437,7 +438,7 @@
     if told["name"] in peers:
         raise ConfigError(f"sites.peers.{told['name']}: this site itself is no other one")
     listen = endpoint("sites.listen", str(told.get("listen", "")))
-    return SitesFile(told["name"], listen, told["store"], peers)
+    return SitesFile(told["name"], listen, told["store"], peers, _key(told, "keys", str, ""))
 
 
 def _span(key: str, value: object, least: float) -> float:
--- a/weldhatch/keys/folder.py
+++ b/weldhatch/keys/folder.py
@@ -85,6 +85,20 @@
             raise KeysError(f"{self.path}: server.pem, server.key or ca.pem can't be used: {fault}") from None
         return context
 
+    def client_context(self, name: str) -> ssl.SSLContext:
+        """What a client of that name connects with: it shows its certificate, and checks the server's."""
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        for part in ("ca.pem", f"clients/{name}.pem", f"clients/{name}.key"):
+            self._read(part)  # names the file that is missing
+        try:
+            context.load_verify_locations(self.path / "ca.pem")
+            stem = self.path / "clients" / name
+            context.load_cert_chain(f"{stem}.pem", f"{stem}.key")
+        except (ssl.SSLError, OSError) as fault:
+            raise KeysError(f"{self.path}: ca.pem or clients/{name} can't be used: {fault}") from None
+        return context
+
     # ---- tokens --------------------------------------------------------------------------------------------
 
     def _tokens(self) -> dict:
--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -8,12 +8,15 @@
 import time
 import traceback
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from weldhatch.net.ring import Ring
 
+if TYPE_CHECKING:
+    import ssl
+
 MESSAGE_MOST = 16 * 1024  # a longer message closes its connection
 IN_MOST = MESSAGE_MOST + 2048  # one message, and the start of the next
 OUT_MOST = 128 * 1024  # a peer that leaves so much unread is closed
@@ -146,15 +149,19 @@
 
 
 async def connect(endpoint: tuple[str, int], within: float, slots: Slots, name: str,
-                  log: Callable[[str], None]) -> Connection:
+                  log: Callable[[str], None], tls: ssl.SSLContext | None = None) -> Connection:
     """A new connection; OSError where it is refused, TimeoutError where it never comes up.
 
+    `tls`: with a handshake, in which the other side's certificate has to be for the endpoint's host.
+
     The caller has taken the slot. A failure gives it back here, a success hands it to the connection.
     """
     stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     try:
         async with asyncio.timeout(within):
             await stream.connect(endpoint)
+            if tls is not None:
+                stream = await stream.start_tls(False, tls, server_hostname=endpoint[0])
     except BaseException as error:
         stream.close()
         slots.give_back()
--- /dev/null
+++ b/weldhatch/net/tls.py
@@ -0,0 +1,35 @@
+"""The serving side of a TLS handshake, and the name that the other side's certificate shows."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import ssl
+
+from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
+
+HANDSHAKE_S = 5.0
+
+
+async def shake_hands(stream: IOStream, context: ssl.SSLContext) -> tuple[IOStream, str]:
+    """The stream to go on with, and the common name in the client's certificate, '' without one.
+
+    Raises ConnectionError where it fails; the socket is closed then.
+    """
+    # The stream has given its socket away by the time a handshake fails, and can't close it: guards against
+    # a descriptor that is lost with each client that speaks no TLS, or says nothing.
+    spare = stream.socket.dup()
+    try:
+        async with asyncio.timeout(HANDSHAKE_S):
+            secure: SSLIOStream = await stream.start_tls(True, context)
+    except (StreamClosedError, TimeoutError, ssl.SSLError) as fault:
+        with contextlib.suppress(OSError):
+            spare.shutdown(socket.SHUT_RDWR)
+        raise ConnectionError(f"no TLS: {fault}") from None
+    finally:
+        spare.close()
+    certificate = secure.socket.getpeercert() if context.verify_mode is ssl.CERT_REQUIRED else None
+    names = [value for part in (certificate or {}).get("subject", ()) for key, value in part
+             if key == "commonName"]
+    return secure, names[0] if names else ""
--- a/weldhatch/pullqueue/abroad.py
+++ b/weldhatch/pullqueue/abroad.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import ssl
 import time
 from collections.abc import Callable
 from random import Random
@@ -12,7 +13,7 @@
 import msgspec
 
 from weldhatch import interface as i
-from weldhatch.config import PullQueueFile
+from weldhatch.config import ConfigError, PullQueueFile, SitesFile
 from weldhatch.core import ports
 from weldhatch.core.driver import Driver
 from weldhatch.core.life import Core
@@ -63,6 +64,19 @@
             self._book.must(durable.encode("spent", [work.key]))
 
 
+def _contexts(told: SitesFile) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+    """What links are served and dialled with. Raises ConfigError naming the file that can't be used."""
+    if not told.keys:
+        return None, None
+    from weldhatch.keys.folder import Folder, KeysError
+
+    folder = Folder(told.keys)
+    try:
+        return folder.server_context(mutual=True), folder.client_context(told.name)
+    except KeysError as fault:
+        raise ConfigError(f"sites.keys: {fault}") from None
+
+
 def build(told: PullQueueFile, settings: i.Settings, driver: Driver, core: Core, ledger: Ledger,
           book: Book | NoBook, random: Random, log: Callable[[str], None]) -> tuple[Sites, SitesBook, Door]:
     """The sites of this gateway, dialling and listening. Raises ConfigError, or OSError for the address."""
@@ -73,12 +87,13 @@
         settle = told.timing.lease + told.timing.grace + SETTLE_SPARE_S
         sites = Sites(told.sites.name, names, settings, core, sites_book, Router(names, random),
                       Abroad(settings, ledger, book), settle, log)
-        door = Door(told.sites.listen, sites.links, share, log)
+        serves, dials = _contexts(told.sites)
+        door = Door(told.sites.listen, sites.links, share, log, serves)
     except BaseException:
         sites_book.close()
         raise
     driver.watch = lambda event: sites.room.watch(time.monotonic(), event)
     for name, endpoint in told.sites.peers.items():
         if told.sites.name < name:
-            sites.links[name].dial(endpoint, share)
+            sites.links[name].dial(endpoint, share, dials)
     return sites, sites_book, door
--- a/weldhatch/pullqueue/security.py
+++ b/weldhatch/pullqueue/security.py
@@ -5,22 +5,20 @@
 
 from __future__ import annotations
 
-import asyncio
 import ssl
 import time
 from typing import TYPE_CHECKING
 
-from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from weldhatch.config import ConfigError, SecurityFile
+from weldhatch.net.tls import shake_hands
 from weldhatch.pullqueue.faults import HttpError
 from weldhatch.pullqueue.http import Request
 
 if TYPE_CHECKING:
     from weldhatch.keys.tokens import Claims
 
-HANDSHAKE_S = 5.0
-
 
 class Security:
     """The gateway's certificate and keyring. `load` reads both anew; open connections keep what they have."""
@@ -55,20 +53,7 @@
         fails."""
         if self._context is None:
             return stream, ""
-        try:
-            async with asyncio.timeout(HANDSHAKE_S):
-                secure: SSLIOStream = await stream.start_tls(True, self._context)
-        except (StreamClosedError, TimeoutError, ssl.SSLError) as fault:
-            stream.close()
-            raise ConnectionError(f"no TLS: {fault}") from None
-        certificate = secure.socket.getpeercert() if self._told.tls == "mutual" else None
-        names = [
-            value
-            for part in (certificate or {}).get("subject", ())
-            for key, value in part
-            if key == "commonName"
-        ]
-        return secure, names[0] if names else ""
+        return await shake_hands(stream, self._context)
 
     def who(self, request: Request, collection: str) -> Claims | None:
         """Whose call this is; None where nobody is asked. Raises HttpError: 401 for nobody, 403 for the
--- a/weldhatch/sites/link.py
+++ b/weldhatch/sites/link.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -20,6 +21,7 @@
 from weldhatch.net.listener import Listener
 from weldhatch.net.ring import Ring
 from weldhatch.net.sparing import Sparing
+from weldhatch.net.tls import shake_hands
 from weldhatch.sites import frames
 from weldhatch.sites.session import Faulty, Frame, Full, Hello, Session, stale
 
@@ -87,16 +89,18 @@
 
     # ---- connections ---------------------------------------------------------------------------------------
 
-    def dial(self, endpoint: tuple[str, int], share: Share) -> None:
+    def dial(self, endpoint: tuple[str, int], share: Share, tls: ssl.SSLContext | None = None) -> None:
         """Connect, and again whenever the connection ends."""
-        self._run(self._dial(endpoint, share))
+        self._run(self._dial(endpoint, share, tls))
 
-    async def _dial(self, endpoint: tuple[str, int], share: Share) -> None:
+    async def _dial(self, endpoint: tuple[str, int], share: Share, tls: ssl.SSLContext | None) -> None:
         wait = AGAIN_S
         while True:
             if share.take():
                 try:
-                    connection = await connect(endpoint, DIAL_S, share, f"site {self.site}", self._log)
+                    connection = await connect(endpoint, DIAL_S, share, f"site {self.site}", self._log, tls)
+                except ssl.SSLError as fault:
+                    self._log(f"site {self.site}: no TLS: {fault}")
                 except (OSError, TimeoutError):
                     pass
                 else:
@@ -266,8 +270,9 @@
     """Where other sites connect. A connection is nobody's until it has said which site it is."""
 
     def __init__(self, address: tuple[str, int], links: dict[str, Link], share: Share,
-                 log: Callable[[str], None]) -> None:
-        self._links, self._share, self._log = links, share, Sparing(log)
+                 log: Callable[[str], None], tls: ssl.SSLContext | None = None) -> None:
+        """`tls`: who connects has to show the certificate of the site that it says it is."""
+        self._links, self._share, self._log, self._tls = links, share, Sparing(log), tls
         self._tasks: set[asyncio.Task] = set()
         self.listener = Listener(address, share, self._taken)
 
@@ -277,6 +282,14 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, stream: IOStream, host: str) -> None:
+        certified = ""
+        if self._tls is not None:
+            try:
+                stream, certified = await shake_hands(stream, self._tls)
+            except OSError as fault:
+                self._log(f"site at {host}: closed: {fault}")
+                self._share.give_back()
+                return
         connection = Connection(stream, self._share, f"site at {host}", self._log)
         link: Link | None = None
 
@@ -286,6 +299,9 @@
                 if not isinstance(frame, Hello) or frame.site not in self._links:
                     raise Malformed(f"site {frame.site!r} is not configured here"
                                     if isinstance(frame, Hello) else "it does not say which site it is")
+                if self._tls is not None and certified != frame.site:
+                    raise Malformed(f"it says that it is {frame.site!r}, and shows the certificate of "
+                                    f"{certified!r}")
                 link = self._links[frame.site]
                 connection.name = f"site {link.site}"
             link.hear(connection, frame, dialled=False)
