Let a closed gateway start nothing that was being written when it closed

Seen: benchmarks.sites in full logged InvalidStateError in Crossing.tell at two of 200 faults. Cause: a record was on its way to the disk when the gateway was closed; its continuation then told a crossing whose task was cancelled, and could have handed a guest task to the closed gateway's core.

Change: Sites.carry does nothing once closed; a word to a cancelled crossing wakes nobody.

--- a/weldhatch/sites/crossing.py
+++ b/weldhatch/sites/crossing.py
@@ -101,7 +101,7 @@
 
     def tell(self, word: object) -> None:
         self._words.append(word)
-        if self._wake is not None:
+        if self._wake is not None and not self._wake.done():  # it is cancelled where the gateway was closed
             self._wake.set_result(None)
             self._wake = None
 
@@ -341,7 +341,7 @@
         self.crossings: set[Crossing] = set()
         self.undecided = 0
         self.guests: dict[tuple[str, Id], Guest] = {}
-        self.draining = False
+        self.draining = self._closed = False
         self._waiting: dict[Id, tuple[Crossing, int]] = {}  # who waits for a transfer, and until when
         self._down: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -453,7 +453,12 @@
     # ---- carrying effects out --------------------------------------------------------------------------
 
     def carry(self, effects: list, site: str = "") -> None:
-        """Carry effects out in order: what follows a record waits until it is on the disk."""
+        """Carry effects out in order: what follows a record waits until it is on the disk.
+
+        Guards against a start by a gateway that was closed while its record was being written.
+        """
+        if self._closed:
+            return
         for n, effect in enumerate(effects):
             if isinstance(effect, lending.Write | taking.Write):
                 record = records.lent(effect.record) if isinstance(effect, lending.Write) \
@@ -606,6 +611,7 @@
 
     def close(self) -> None:
         """Give back every socket and task at once; what was taken gets no more answers."""
+        self._closed = True
         for task in [*self._tasks, *(crossing.running for crossing in self.crossings)]:
             task.cancel()
         for link in self.links.values():
--- a/weldhatch/standins/hall.py
+++ b/weldhatch/standins/hall.py
@@ -82,6 +82,8 @@
     # ---- ports.Site ----------------------------------------------------------------------------------------
 
     def offer(self, machine: int, task: ports.Task, attempt: int, wait_us: int, teller: ports.Teller) -> None:
+        if self.dead:
+            return
         one = self._out[id(task)] = Running(task, attempt, machine, teller)
         one.timer = asyncio.get_running_loop().call_later(self.look_s, self._look, one)
 
