Read the link's frames straight into their kinds; measure its codec against JSON and CBOR

Cause: frames were lists of fields, put together by name in Python after decoding.

Change: a frame is a pair of its kind's number and the kind's own map, decoded by msgspec into the kind. The benchmark measures CBOR (cbor2) as well. A scenario more: a site drained by an apply's word while work is on its way there.

The drained site starts nothing, and the task is refused once at the site that was asked.

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -10,7 +10,7 @@
     forward_added_ms                answer of a task that crosses, less that of one at home, by one-way delay
     heal_to_settled_s               from the moment that a cut link heals until nothing is in doubt
     placed_share                    of the same arrivals at too small a site: alone, static halves, routed
-    codec                           bytes and microseconds (both ways) of one offer: MessagePack and JSON
+    codec                           bytes and microseconds (both ways) of one offer: MessagePack, JSON, CBOR
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 from pathlib import Path
 from random import Random
 
+import cbor2
 import msgspec
 import numpy as np
 
@@ -147,9 +148,17 @@
                 ("s" * 200, "b" * 400), 1)
     offer = words.Offered((12, 34567), work, 4_000_000)
     out = {}
-    as_json, read_json = msgspec.json.encode, msgspec.json.Decoder(words.Offered).decode
+    kind = words.Offered
+
+    def as_cbor(word: words.Offered) -> bytes:
+        return cbor2.dumps(msgspec.to_builtins(word))
+
+    def read_cbor(data: bytes) -> words.Offered:
+        return msgspec.convert(cbor2.loads(data), kind)
+
     for name, write, read in (("msgpack", frames.encode_word, frames.decode_word),
-                              ("json", as_json, read_json)):
+                              ("json", msgspec.json.encode, msgspec.json.Decoder(kind).decode),
+                              ("cbor", as_cbor, read_cbor)):
         data = write(offer)
         start = time.perf_counter()
         for _ in range(rounds):
--- a/tests/test_abroad.py
+++ b/tests/test_abroad.py
@@ -12,6 +12,7 @@
 import pytest
 from click.testing import CliRunner
 from scenario import SETTINGS, Client, Scenario
+from test_operators import word
 from test_pullqueue import bot, lease, task
 
 from weldhatch import config
@@ -111,6 +112,18 @@
                               + json.dumps({"leases": [{"id": "$lease", "state": "ACTIVE"}]}))
         await self.at(self.b, "p1 expect 200 leases.0.state=CANCELLED")
 
+    async def test_a_site_drained_by_an_apply_while_work_is_on_its_way_starts_none_of_it(self):
+        """The word is the one that a fleet's apply sends to the gateway before it drains a node."""
+        await self.at(self.b, f"p1 send POST botSessions | {bot('b1')}\np1 expect 200")
+        await self.until(lambda: (told := self.a.sites.router.sites["b"].told) and told.free["safe"],
+                         "a has heard of b's room")
+        await self.at(self.a, f"c1 send POST tasks | {task(left=1500)}")
+        await self.until(lambda: self.b.sites.guests, "it is on its way to b's machine")
+        self.b.operate(word("b1"))
+        await self.at(self.b, "p1 send PATCH $session X-Server-Timeout=1 | {}\np1 expect 200 leases=[]")
+        await self.at(self.a, "c1 expect 200 answer=refused")
+        await self.until(lambda: not self.a.sites.lender.lent and not self.b.sites.guests, "all is settled")
+
     async def weldhatch(self, *words):
         """A command against a's control address, as its own process would run it."""
         control = Control({}, ("127.0.0.1", 0), self.a, lambda tree: None, self.logged.append, time.time)
--- a/weldhatch/sites/frames.py
+++ b/weldhatch/sites/frames.py
@@ -1,4 +1,4 @@
-"""The wire of the link: four bytes of length, then one MessagePack array, whose first item tells its kind.
+"""The wire of the link: four bytes of length, then a MessagePack pair: the number of its kind, its fields.
 
 Read and written by msgspec, which is imported only where a gateway has sites. Every frame is checked whole:
 what does not fit its kind is `Faulty`, and the connection ends with one line in the log.
@@ -25,25 +25,23 @@
     6: words.Taken, 7: words.Stood, 8: words.Returned, 9: words.Ended}
 _KIND_OF = {kind: number for number, kind in _KINDS.items()}
 _WORD_OF = {kind: number for number, kind in _WORDS.items()}
+_KIND_READERS = {number: msgspec.msgpack.Decoder(kind) for number, kind in _KINDS.items()}
+_WORD_READERS = {number: msgspec.msgpack.Decoder(kind) for number, kind in _WORDS.items()}
 _pack, _unpack = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder().decode
+_unpack_pair = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
 
 
-def _fields(value: object) -> list:
-    return [getattr(value, name) for name in value.__slots__]
-
-
-def _made(kinds: dict[int, type], data: bytes, what: str) -> object:
+def _made(readers: dict[int, msgspec.msgpack.Decoder], data: bytes, what: str) -> object:
     try:
-        number, *fields = _unpack(data)
-        kind = kinds[number]
-        return msgspec.convert(dict(zip(kind.__slots__, fields, strict=True)), kind)
-    except (msgspec.MsgspecError, KeyError, ValueError, TypeError, RecursionError) as fault:
+        number, rest = _unpack_pair(data)
+        return readers[number].decode(rest)
+    except (msgspec.MsgspecError, KeyError, ValueError, RecursionError) as fault:
         raise Faulty(f"{what} that can't be read: {type(fault).__name__}: {str(fault)[:120]}") from None
 
 
 def encode(frame: Frame) -> bytes:
     """A frame as it goes out. Raises ValueError for one that is too long."""
-    data = _pack([_KIND_OF[type(frame)], *_fields(frame)])
+    data = _pack((_KIND_OF[type(frame)], frame))
     if len(data) > FRAME_MOST:
         raise ValueError(f"a frame of {len(data)} bytes; {FRAME_MOST} are the most")
     return _LENGTH.pack(len(data)) + data
@@ -51,7 +49,7 @@
 
 def decode(data: bytes) -> Frame:
     """The frame of these bytes, without their length. Raises Faulty."""
-    return _made(_KINDS, data, "a frame")
+    return _made(_KIND_READERS, data, "a frame")
 
 
 def parse(ring: Ring) -> Frame | None:
@@ -67,12 +65,12 @@
 
 
 def encode_word(word: words.ToTaker | words.ToLender) -> bytes:
-    return _pack([_WORD_OF[type(word)], *_fields(word)])
+    return _pack((_WORD_OF[type(word)], word))
 
 
 def decode_word(payload: bytes) -> words.ToTaker | words.ToLender:
     """Raises Faulty."""
-    return _made(_WORDS, payload, "a word")
+    return _made(_WORD_READERS, payload, "a word")
 
 
 def encode_summary(summary: Summary) -> bytes:
