Say the placed task once in the vigil's tests, and drop an unread field of Owner

Cause: a read of the whole change found one scenario written twice and a field that nothing reads. Change: one constant in tests/test_vigil.py; standins/region.py's Owner no longer keeps its region.

--- a/tests/test_vigil.py
+++ b/tests/test_vigil.py
@@ -9,6 +9,12 @@
 from weldhatch.platform.vigil import ALARM_LASTS_S, ALARM_S, CALM_S, KEPT, Vigil
 
 
+PLACED = """
+    owner send START a1 class=safe
+    s1 expect SET_UP a1
+    s1 send ANSWER a1 | v=0
+    owner expect STARTED a1
+"""
 QUIET = {**SETTINGS, "limits": {**SETTINGS["limits"], "probes": False}}
 
 
@@ -48,12 +54,7 @@
 
     async def test_a_quiet_server_is_left_alone_until_a_neighbour_vanishes(self):
         """Tests are priced as probes: a quiet server gets none before its time, and one soon after alarm."""
-        await self.play("""
-            owner send START a1 class=safe
-            s1 expect SET_UP a1
-            s1 send ANSWER a1 | v=0
-            owner expect STARTED a1
-        """)
+        await self.play(PLACED)
         (link,) = self.gateway.servers._links.values()
         watched, tested = [], []
         watch, test = type(link).watch, servers.Servers.test
@@ -70,12 +71,7 @@
 class Reporting(Scenario):
     async def test_what_a_tested_server_reports_reaches_the_module_without_a_probe(self):
         """Guards against paying for a test of life and for a probe of the same server."""
-        await self.play("""
-            owner send START a1 class=safe
-            s1 expect SET_UP a1
-            s1 send ANSWER a1 | v=0
-            owner expect STARTED a1
-        """)
+        await self.play(PLACED)
         (link,) = self.gateway.servers._links.values()
         (node,) = self.gateway.driver._policy._nodes.values()
         self.parties["s1"].report = "x0:31;x1:77"
--- a/weldhatch/standins/region.py
+++ b/weldhatch/standins/region.py
@@ -64,8 +64,8 @@
 class Owner:
     """One request: all that it was told."""
 
-    def __init__(self, region: Region, task: ports.Task) -> None:
-        self._region, self.task = region, task
+    def __init__(self, task: ports.Task) -> None:
+        self.task = task
         self.answers: list[str] = []
         self.description: str | None = None
         self.ends = 0
@@ -183,8 +183,8 @@
 
     def ask(self, site: str, kind: int = 0, key: int = 0, left_s: float = 2.0, cores: float = 1.0) -> Owner:
         key = key or next(self._keys)
-        owner = Owner(self, ports.Task(f"t{key}", kind, key % 7, cores, 2 * cores,
-                                       unix_us() + int(left_s * 1e6), key))
+        owner = Owner(ports.Task(f"t{key}", kind, key % 7, cores, 2 * cores,
+                                 unix_us() + int(left_s * 1e6), key))
         self.owners.append(owner)
         owner.life = self.now[site].sites.arrive(owner.task, owner)
         return owner
