Hold those inside a left hall to shares on servers that start anew; shed by tenant

Cause 1: joint starts of 1.10 of what a cold server bears. In a hall cut one way those inside go on; its servers start anew before the return begins, and lists say nothing. Only their connections tell. Change: a connection's end (`platform/servers.py: Link._broken`) is told to `zones/keeper.py`; on such a machine those inside start by shares, which the leader hands them at the first step's pace.

Cause 2: work was turned away by class only. Change: reports tell rates by tenant (eight pairs at most), `zones/fair.py` divides what is borne by weighted max-min fairness, and the entry names each tenant's part. Work that was turned away counts as asked for.

Cause 3: a leader that dies a second after a fault, its suspicion not yet decided, made the next one begin anew. Change: reports say for how long a place has been down; a new leader believes what a third of all members say.

Besides: a report with a figure that is not finite is left (it raised OverflowError in the leader). Each guard was taken out and its test failed.

--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -137,6 +137,11 @@
         self.assertEqual(self.started("south", at, rig.outside("south")), [])
         entry = next(one for one in reversed(await rig.history()) if one["phase"] == "left")
         self.assertTrue(entry["inside"])
+        # Its servers start anew, cold, and lists say nothing: those inside know it from their connections.
+        await rig.heal_hall("south", cold=True)
+        await rig.phase("south", "serving", 60)
+        self.assertEqual(rig.fallen(), [])
+        self.assertLessEqual(rig.peak(), 1.0)
 
     async def test_what_is_no_hall_failure_moves_no_hall(self):
         rig = await self.rig(count=7)
@@ -189,10 +194,11 @@
         self.assertLessEqual(rig.peak(), 1.0)
 
     async def test_too_little_room_elsewhere_turns_away_the_least_worth_first(self):
-        rig = await self.rig(cores=10, hold_s=6.0)
-        rig.work(0.03, again=False)
-        rig.work(0.05, "writer", again=False)
-        await asyncio.sleep(6.0)  # until it carries what it is going to carry
+        rig = await self.rig(cores=10, hold_s=6.0, tenants={"much": 0.5, "little": 0.5})
+        rig.work(0.038, again=False, tenant="much")  # over its share
+        rig.work(0.25, again=False, tenant="little")
+        rig.work(0.1, "writer", again=False)
+        await asyncio.sleep(8.0)  # until it carries what it is going to carry
         rig.drop_hall("south")
         await rig.phase("south", "left")
         at = time.monotonic()
@@ -201,11 +207,15 @@
         self.assertGreater(entry["shed"].get("lookup", 0.0), 0.0, entry)
         self.assertIn("can't bear", entry["why"])
 
-        def placed(class_name):
-            asked = [one for one in rig.asks if one.class_name == class_name and at <= one.at < at + 2.0]
+        def placed(class_name, tenant=""):
+            asked = [one for one in rig.asks if one.class_name == class_name and at <= one.at < at + 2.0
+                     and tenant in ("", one.tenant)]
             return sum(one.placed_at > 0 for one in asked) / len(asked)
 
         self.assertGreater(placed("writer"), placed("lookup"))
+        told = entry["tenants"]["lookup"]
+        self.assertGreater(told["much"], told["little"] + 0.2, entry)
+        self.assertGreater(placed("lookup", "little"), placed("lookup", "much"))
         for hall in ("north", "west"):  # and it is never so that nobody is left
             with self.assertRaisesRegex(LookupError, "can't bear|last zone"):
                 await rig.ask(await rig.leader(), "zones", {"word": "leave", "place": hall, "why": "a test"})
--- a/tests/test_zone_verdicts.py
+++ b/tests/test_zone_verdicts.py
@@ -3,7 +3,9 @@
 import itertools
 import json
 import unittest
+from dataclasses import replace
 
+from weldhatch import interface as i
 from weldhatch.rules.coordinator import Coordinator, Spans
 from weldhatch.rules.group import Group
 from weldhatch.rules.words import Ask
@@ -111,6 +113,55 @@
         self.zones = Zones()
         self.assertIs(taken_over((0, 2, 3), 0.15), Phase.SUSPECTED)  # and what nobody suspected is confirmed
 
+    def test_a_new_leader_hears_for_how_long_a_place_is_down_and_believes_a_third_of_all(self):
+        """Its leader died before a suspicion was decided: that it is down is no news to those who say so."""
+        def new_leader(spans):
+            self.marshal, self.zones = Marshal(self.now, "m", Times(), 1.0, 0.5, 0.02), Zones()
+            self.marshal.gone({f"d{n}" for n in range(8)})
+            self.now += 0.05
+            for n, ms in spans.items():
+                one = told(f"z{n % 3}", {"z0": "fine", "z1": "down", "z2": "fine"})
+                one["looks"]["z1"].append(ms)
+                self.marshal.hear(self.now, f"d{n}", f"d{n}.1", one)
+            commands = self.marshal.todo(self.now, self.zones, SETTINGS, lambda index: True)
+            return [one["phase"] for one in commands if one["place"] == "z1"]
+
+        self.assertEqual(new_leader({0: 800, 2: 700, 3: 300}), ["leaving"])
+        self.assertEqual(new_leader({0: 800, 2: 700}), ["suspected"])  # two of eight may be wrong
+        self.assertEqual(new_leader({0: 10**9, 2: 10**9, 3: 100, 5: 100}), ["suspected"])  # and two may lie
+
+    def test_what_tenants_ask_over_their_shares_is_turned_away_first(self):
+        portions = {"acme": 0.5, "bolt": 0.25, "cogs": 0.25}
+        settings = replace(SETTINGS, tenants=tuple(
+            i.Tenant(name, portion=one) for name, one in portions.items()))
+        marshal, zones = Marshal(0.0, "l", Times(), 1.0, 0.5, 0.02), Zones()
+        now = 0.0
+
+        def play(until, stands, tenants):
+            nonlocal now
+            while now < until:
+                now += 0.05
+                for n in EIGHT:
+                    looks = {"z0": "fine", "z1": "down", "z2": "fine"} if now > 1.0 else dict.fromkeys(
+                        ZONES, "fine")
+                    marshal.hear(now, f"d{n}", f"d{n}.1", told(
+                        f"z{n % 3}", looks, stands={"z1": 30.0, "z0": stands},
+                        size={"z0": 140.0, "z2": 100.0}, rates={"lookup": 8.0}, tenants={"lookup": tenants}))
+                for command in marshal.todo(now, zones, settings, lambda index: True):
+                    zones.take(zones.number + 1, command, ZONES)
+            return zones.at("z1")
+
+        place = play(2.0, 10.0, {"acme": 2.0, "bolt": 5.0, "cogs": 1.0})
+        self.assertIs(place.phase, Phase.LEFT)
+        part = place.shed["lookup"]
+        self.assertTrue(0.2 < part < 0.6, place)
+        self.assertEqual((place.part("lookup", "acme"), place.part("lookup", "cogs")), (0.0, 0.0))
+        self.assertAlmostEqual(place.part("lookup", "bolt") * 5.0, part * 8.0, delta=0.1)
+        self.assertEqual(place.part("lookup", "nobody"), part)  # of whom nothing is told
+        # The rest is nearly full, so as much is turned away; another one asks too much now.
+        place = play(4.5, 27.0, {"acme": 6.0, "bolt": 1.0, "cogs": 1.0})
+        self.assertGreater(place.part("lookup", "acme"), place.part("lookup", "bolt"))
+
     def test_one_alone_moves_nobody_whatever_it_says(self):
         self.play(5.0, lambda n: {zone: "down" for zone in ZONES} if n == 0 else {})
         self.assertEqual({one.phase for one in self.zones.entries.values()} - {Phase.SERVING}, set())
@@ -217,7 +268,10 @@
         self.activate()
         for text in ("no JSON", "5", "{}", '{"looks": 5, "zone": "", "cut": ""}', '{"looks": {"z1": []}}',
                      '{"zone": "z0", "cut": "", "looks": {"z1": ["down", "many"]}}',
-                     '{"zone": "z0", "cut": "", "looks": {}, "stands": {"z1": "much"}}'):
+                     '{"zone": "z0", "cut": "", "looks": {}, "stands": {"z1": "much"}}',
+                     '{"zone": "z0", "cut": "", "looks": {"z1": ["down", Infinity]}}',
+                     '{"zone": "z0", "cut": "", "looks": {}, "tenants": {"lookup": {"acme": NaN}}}',
+                     '{"zone": "z0", "cut": "", "looks": {}, "tenants": {"lookup": 5}}'):
             self.zoning.hear(1.0, self.group, self.ask("d0", text))
         self.assertEqual(self.zoning.status(1.0, self.group)["reports"], {})
         self.zoning.hear(1.0, self.group, self.ask("d0", json.dumps(told("z0", {"z1": "down"}))))
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -12,7 +12,7 @@
 from weldhatch import config
 from weldhatch import interface as i
 from weldhatch.standins.realm import settings as realm_settings
-from weldhatch.zones import room
+from weldhatch.zones import fair, room
 from weldhatch.zones.budgets import Attempts, Ramp
 from weldhatch.zones.hush import DEAF_S, FIRST_S, Hush
 from weldhatch.zones.keeper import Keeper
@@ -93,6 +93,39 @@
         self.assertLess(len(json.dumps(sight.report(1.0))), 1000)
 
 
+class Fair(unittest.TestCase):
+    @given(st.floats(0.05, 0.95), st.dictionaries(st.sampled_from("abcdefgh"), st.floats(0.1, 100.0),
+                                                  min_size=1), st.lists(st.floats(0.1, 10.0), min_size=8,
+                                                                        max_size=8))
+    def test_together_they_lose_the_part_and_nobody_within_its_share_loses_any(self, part, rates, weights):
+        shares = dict(zip("abcdefgh", weights, strict=True))
+        room = (1 - part) * sum(rates.values())
+        kept = fair.borne(rates, shares, room)
+        self.assertAlmostEqual(sum(kept.values()), room, places=6)
+        whole = sum(shares[name] for name in rates)
+        for name, rate in rates.items():
+            self.assertLessEqual(kept[name], rate + 1e-9)
+            if rate <= room * shares[name] / whole:
+                self.assertAlmostEqual(kept[name], rate)
+        cut = [kept[name] / shares[name] for name in rates if kept[name] < rates[name] * (1 - 1e-9)]
+        self.assertTrue(not cut or max(cut) - min(cut) < 1e-6 * max(cut) + 1e-9)  # the others get alike
+        for name, one in fair.parts(part, rates, shares).items():
+            self.assertAlmostEqual(one, 1 - kept[name] / rates[name], delta=0.006)
+
+    def test_shares_are_what_the_settings_give_all_tenants(self):
+        some = (i.Tenant("a", 5.0, 0.4, 8.0), i.Tenant("b", 5.0, 0.6, 0.0))
+        self.assertEqual(fair.weights(some), {"a": 5.0, "b": 5.0})
+        self.assertEqual(fair.weights((i.Tenant("a"), i.Tenant("b", portion=1.0))), {"a": 1.0, "b": 1.0})
+        self.assertEqual(fair.of_shed({"lookup": 0.5}, [], some), {})
+        told = [{"tenants": {"lookup": {"a": 4.0, "nobody": 50.0}}}, {"tenants": {"lookup": {"b": 4.0}}}]
+        self.assertEqual(fair.of_shed({"lookup": 0.5, "import": 1.0}, told, some),
+                         {"lookup": {"a": 0.5, "b": 0.5}})
+
+    def test_a_report_names_the_greatest_rates(self):
+        rates = {("lookup", f"tenant-{n}"): float(n) for n in range(40)}
+        self.assertEqual(list(fair.rates_told(rates)["lookup"]), [f"tenant-{n}" for n in range(39, 31, -1)])
+
+
 class Hushed(unittest.TestCase):
     """Machine n is in zone n % 3, in rack n // 3 % 2 there."""
 
@@ -368,6 +401,32 @@
         self.assertTrue(150 < sum(one is not None for one in away) < 250)
         self.assertIsNone(self.keeper.away(5.0, 1, 0))
 
+    def test_a_tenant_in_its_share_is_not_turned_away_and_one_over_it_is_counted_whole(self):
+        tenants = (i.Tenant("acme"), i.Tenant("bolt"))
+        self.keeper.settle(replace(SETTINGS, tenants=tenants))
+        self.agree(1.0, "leaving", shed={"lookup": 0.5}, tenants={"lookup": {"acme": 0.0, "bolt": 1.0}})
+        self.assertEqual([self.keeper.away(5.0 + n / 100, 0, 0, 0, 1.0) for n in range(20)], [None] * 20)
+        away = [self.keeper.away(5.0 + n / 100, 0, 0, 1, 1.0) for n in range(20)]
+        self.assertIn("100% of bolt's lookup", away[0].why)
+        # What was turned away is asked for all the same: else its part would swing from look to look.
+        self.assertEqual(self.keeper.report(5.2)["tenants"], {"lookup": {"bolt": 5.0}})
+
+    def test_a_machine_that_broke_inside_a_left_place_is_started_on_by_shares(self):
+        inside = Keeper(replace(SETTINGS, zone=1), 0.02, Random(1), str)
+        inside.heard(0.0, i.MachinesChanged(i.ListForm.FULL, tuple(i.Machine(n, n % 3) for n in range(9))))
+        self.agree(1.0, "leaving", "left", inside=True)
+        inside.agreed(1.0, self.zones)
+        inside.broke(2.0, 4)  # no list says that its process is a new one
+        self.assertEqual((inside.state(2.0, 4), inside.state(2.0, 7)), ("draining", "ready"))
+        self.assertIn("no share", inside.stops(2.0, 4, 0))
+        self.assertEqual(inside.stops(2.0, 7, 0), "")
+        inside.take([Share("z1", "l.0", 0, 0, 1, 1, 0.5)], 2.1)
+        inside.agreed(2.1, self.zones)  # news of something else: the share is kept
+        self.assertEqual((inside.stops(2.2, 4, 0), inside.state(2.2, 4)), ("", "draining"))
+        self.assertEqual(inside.state(2.0 + SETTINGS.cold_us / 1e6, 4), "ready")  # it is warm by now
+        inside.broke(3.0, 3)  # in a zone that serves, that is the module's to look after
+        self.assertEqual(inside.state(3.0, 3), "ready")
+
     def test_second_attempts_stop_when_the_budget_is_spent(self):
         self.agree(1.0, "leaving")
         stopped = [self.keeper.stops(1.0, 3, 1) for _ in range(30)]
--- a/weldhatch/agreement/gate.py
+++ b/weldhatch/agreement/gate.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from weldhatch import interface as i
+from weldhatch.core.ports import Task
 from weldhatch.rules.holder import Holder
 from weldhatch.zones.keeper import Keeper
 
@@ -28,10 +29,12 @@
         cls = rules.narrow.settings.classes[class_index]
         return self._holder.refusal(self._now(), cls, machine, self._rev())
 
-    def away_us(self, class_index: int, key: int = 0) -> int | None:
+    def away_us(self, task: Task) -> int | None:
         wait = WAIT_US
-        if not self._refusal(class_index, ""):
-            away = self.keeper.away(self._now(), class_index, key) if self.keeper is not None else None
+        if not self._refusal(task.class_index, ""):
+            away = None
+            if self.keeper is not None:
+                away = self.keeper.away(self._now(), task.class_index, task.key, task.tenant, task.cores)
             if away is None:
                 return None
             wait = max(1, int(1e6 * away.wait_s))
--- a/weldhatch/agreement/governor.py
+++ b/weldhatch/agreement/governor.py
@@ -44,6 +44,9 @@
     def name_of(self, machine: int) -> str:
         """What operators call a machine; '' for one that is not known."""
 
+    def on_break(self, broke: Callable[[int], None]) -> None:
+        """Tell it of machines whose connection has ended, where they have one of their own."""
+
     def agreed(self, machine: str, state: str, fence: int, op: str) -> None:
         """What the group acts on for a machine, by operators' words."""
 
@@ -89,6 +92,7 @@
             zones=zones.times if zones is not None else None,
             shared=self.zoner.shared if self.zoner is not None else lambda shares, asked: None)
         if self.zoner is not None:
+            front.on_break(lambda machine: self.zoner.keeper.broke(clock(), machine))
             self.zoner.join(self.agreement, self._roll.machines if self._roll is not None else ())
         rev = (lambda: self._roll.rev) if self._roll is not None else (lambda: 0)
         self._gate = Gate(self.agreement.holder, clock, front.name_of, rev)
--- a/weldhatch/alone.py
+++ b/weldhatch/alone.py
@@ -12,6 +12,7 @@
 
 from weldhatch import interface as i
 from weldhatch.core.driver import Driver
+from weldhatch.core.ports import Task
 from weldhatch.zones.marshal import Times
 from weldhatch.zones.narrowed import Narrowed
 from weldhatch.zones.solitary import Solitary
@@ -68,8 +69,9 @@
 
     # ---- what the core asks ----------------------------------------------------------------------------
 
-    def away_us(self, class_index: int, key: int = 0) -> int | None:
-        away = self._solitary.keeper.away(time.monotonic(), class_index, key)
+    def away_us(self, task: Task) -> int | None:
+        away = self._solitary.keeper.away(
+            time.monotonic(), task.class_index, task.key, task.tenant, task.cores)
         if away is None:
             return None
         most = self._settings.max_retry_after_us if self._settings.retry_after else 0
--- a/weldhatch/cli/zones.py
+++ b/weldhatch/cli/zones.py
@@ -80,13 +80,22 @@
             at = f" {datetime.fromtimestamp(one['at'], UTC):%Y-%m-%d %H:%M:%SZ}" if one["at"] else ""
             table.add_row(str(one["number"]), escape(one["place"]), one["phase"] + step,
                           escape(one["by"]) + at, _some(one["witnesses"]),
-                          escape(", ".join(f"{part:.0%} {cls}" for cls, part in one["shed"].items())),
+                          escape(_shed(one["shed"], one.get("tenants", {}))),
                           escape(one["why"]))
         console.print(table)
 
     show({"history": told["history"]}, as_json, text)
 
 
+def _shed(shed: Mapping[str, float], tenants: Mapping[str, Mapping[str, float]]) -> str:
+    """`40% lookup (acme 90%, other 0%)`: by class, and whose."""
+    out = []
+    for cls, part in shed.items():
+        whose = ", ".join(f"{name} {one:.0%}" for name, one in tenants.get(cls, {}).items())
+        out.append(f"{part:.0%} {cls}" + (f" ({whose})" if whose else ""))
+    return ", ".join(out)
+
+
 def _word(word: str, place: str, why: str, despite: bool, pull_file: str, control: str | None,
           as_json: bool) -> int:
     try:
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -86,7 +86,7 @@
             self._answered = True  # taken back in the moment it came: the module has nothing to decide
             self._core.unanswered -= 1
             return None
-        if (rules := self._core.rules) and (away := rules.away_us(task.class_index, task.key)) is not None:
+        if (rules := self._core.rules) and (away := rules.away_us(task)) is not None:
             self._answered = True  # no rules that are sure let it start: nothing for the module to decide
             self._core.unanswered -= 1
             self._owner.refused(away)
--- a/weldhatch/core/ports.py
+++ b/weldhatch/core/ports.py
@@ -131,8 +131,8 @@
 class Rules(Protocol):
     """What a group of dispatchers has agreed on, where there is one."""
 
-    def away_us(self, class_index: int, key: int = 0) -> int | None:
-        """None where a request of the class may be taken up; else how long its owner should stay away."""
+    def away_us(self, task: Task) -> int | None:
+        """None where a request may be taken up; else how long its owner should stay away."""
 
     def stops(self, class_index: int, machine: int, attempt: int = -1) -> str:
         """Why a start may not leave for that machine at this moment; '' where it may.
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -132,6 +132,7 @@
     def _broken(self) -> None:
         """The connection ended: what was out on it may have run."""
         self._up = None
+        self._servers.broke(self.server.machine)
         self._end_open(i.Outcome.RESET)
 
     def _end_open(self, outcome: i.Outcome) -> None:
@@ -302,6 +303,7 @@
         # for the report that the module would otherwise probe for.
         self._asks = int(settings.may_probe and bool(settings.report_fields))
         self._dial_s, self._probe_s, self.log = dial_s, probe_s, log
+        self.broke: Callable[[int], None] = lambda machine: None  # hears that a machine's connection ended
         self._links: dict[int, Link] = {}
         self._unclaimed: dict[bytes, tuple[float, ports.Ended]] = {}  # the oldest first
         self._tests, self._vigil = 0, Vigil()
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -121,6 +121,9 @@
     def name_of(self, machine: int) -> str:
         return self.bots.name_of(machine)
 
+    def on_break(self, broke: Callable[[int], None]) -> None:
+        """Machines come by themselves: none has a connection of its own that could end."""
+
     def agreed(self, machine: str, state: str, fence: int, op: str) -> None:
         """What a group of gateways acts on for a machine, by its operators' words."""
         last = self.operators.words.get(machine)
--- a/weldhatch/rules/member.py
+++ b/weldhatch/rules/member.py
@@ -25,8 +25,8 @@
 SNAPSHOT_EVERY = 400  # entries
 JOIN_AGAIN_S = 0.5
 BACKLOG_MOST = 2000  # effects that wait for a disk; with more, the voter is silent until it takes records
-TOLD = ("number", "machine", "state", "why", "by", "place", "phase", "step", "witnesses", "shed", "inside",
-        "flaps", "held")  # of a command, in the log
+TOLD = ("number", "machine", "state", "why", "by", "place", "phase", "step", "witnesses", "shed", "tenants",
+        "inside", "flaps", "held")  # of a command, in the log
 
 
 class Member:
--- a/weldhatch/rules/zoning.py
+++ b/weldhatch/rules/zoning.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable
 
 from weldhatch import interface as i
@@ -14,6 +15,7 @@
 
 LOOK_S = 0.05  # witnesses are weighed as often
 PLACES_MOST = 100  # that one report may name
+TENANTS_MOST = 16  # classes of which one report may tell rates by tenant
 SPAN = 0.25  # of the stated time: for which a share holds. Shorter than a lease: shares lapse with it
 
 
@@ -52,12 +54,14 @@
             looks = {str(place): [str(look[0]), *map(int, look[1:])]
                      for place, look in list(told["looks"].items())[:PLACES_MOST]}
             told = {"zone": str(told["zone"]), "cut": str(told["cut"]), "looks": looks,
-                    **{key: {str(name): float(value) for name, value in told.get(key, {}).items()}
+                    **{key: {str(name): _number(value) for name, value in told.get(key, {}).items()}
                        for key in ("stands", "rates", "size")},
                     "starts": {str(name): [int(count) for count in counts][:3]
                                for name, counts in told.get("starts", {}).items()},
+                    "tenants": {str(name): {str(tenant): _number(rate) for tenant, rate in by.items()}
+                                for name, by in list(told.get("tenants", {}).items())[:TENANTS_MOST]},
                     "refused": int(told.get("refused", 0))}
-        except (ValueError, KeyError, TypeError, AttributeError, IndexError):
+        except (ValueError, KeyError, TypeError, AttributeError, IndexError, OverflowError):
             return
         found[0].hear(now, ask.name, f"{ask.name}.{ask.epoch}.{ask.token}", told)
 
@@ -96,3 +100,10 @@
         marshal, settings = found
         return {**marshal.status(now, dict.fromkeys([*settings.zones, *group.zones.entries])),
                 "timeline": marshal.timeline}
+
+
+def _number(value: float) -> float:
+    """Raises ValueError for what is no finite number: one report would spoil the sums of all."""
+    if not math.isfinite(value := float(value)):
+        raise ValueError(f"{value} is no figure")
+    return value
--- a/weldhatch/serving.py
+++ b/weldhatch/serving.py
@@ -103,6 +103,9 @@
         server = self.fleet.servers.get(machine)
         return server.uid if server is not None else ""
 
+    def on_break(self, broke: Callable[[int], None]) -> None:
+        self.servers.broke = broke
+
     def agreed(self, machine: str, state: str, fence: int, op: str) -> None:
         """Words reach the module with the list of machines, by `listed`."""
 
--- a/weldhatch/standins/halls.py
+++ b/weldhatch/standins/halls.py
@@ -86,6 +86,7 @@
     key: str
     at: float
     left: float
+    tenant: str = ""
     came: str = ""  # placed, refused, failed, cut (its connection), or '' while nothing has
     answered: float = 0.0
     wait: float = 0.0
@@ -100,6 +101,7 @@
     at: float
     tries: list[Try] = field(default_factory=list)
     placed_at: float = 0.0
+    tenant: str = ""
 
 
 class Owner:
@@ -123,6 +125,8 @@
         self._waiting[tag] = one, done
         opts = {"class": one.class_name, "left": str(int(1000 * one.left)), "key": one.key,
                 "extras": f"cores:1;memory:1;service:{service:016x}"}
+        if one.tenant:
+            opts["tenant"] = one.tenant
         if one.class_name == "import":
             opts["idem"] = one.key
         self._writer.write(json.dumps({"verb": "START", "tag": tag, "opts": opts, "blob": "v=0"}).encode()
@@ -173,14 +177,17 @@
     def __init__(self, folder: Path, count: int = 8, per_hall: int = 20, racks: int = 4, stated: float = 2.0,
                  seed: int = 1, agreement: bool = True, voters: int = 5, cores: int = CORES,
                  pace: Pace | None = None, hold_s: float = 4.0, zones: dict | None = None,
-                 halls: tuple[str, ...] = HALLS) -> None:
-        """`zones`: the table of that name, None for a fleet that does not leave zones together."""
+                 halls: tuple[str, ...] = HALLS, tenants: dict[str, float] | None = None) -> None:
+        """`zones`: the table of that name, None for a fleet that does not leave zones together; `tenants`:
+        their portions."""
         self._tree = json.loads(json.dumps(SETTINGS))
         self._tree["extra"] |= {"sizeCores": [cores], "memOfKind": [float(cores)],
                                 "coldSends": (pace or Pace()).cold}
         warm_us = int(1e6 * (pace or Pace()).warm_s)
         self._tree |= {"zones": list(halls), "groupSize": count,
                        "rules": {**SETTINGS["rules"], "coldUs": warm_us}}
+        if tenants:
+            self._tree["tenants"] = [{"name": name, "portion": part} for name, part in tenants.items()]
         super().__init__(folder, count, voters, stated, seed, self._tree, agreement)
         self.halls, self._zones = halls, zones
         self.pace = pace or Pace()
@@ -261,13 +268,13 @@
     # ---- owners ----------------------------------------------------------------------------------------
 
     def work(self, every: float, class_name: str = "lookup", services: int = 60,
-             again: bool = True) -> asyncio.Task:
+             again: bool = True, tenant: str = "") -> asyncio.Task:
         """One new task every so many seconds over all dispatchers; `again`: comes again, as owners do."""
         async def arrive() -> None:
             n, began = 0, time.monotonic()
             while True:
                 n += 1
-                self.spawn(self._want(class_name, n % services, again))
+                self.spawn(self._want(class_name, n % services, again, tenant))
                 self._tasks = {task for task in self._tasks if not task.done()}
                 await asyncio.sleep(max(0.0, began + n * every - time.monotonic()))
 
@@ -278,9 +285,9 @@
     def _one_of(self) -> str:
         return self.random.choice([name for name in self.nodes if name not in self.down])
 
-    async def _want(self, class_name: str, service: int, again: bool) -> None:
+    async def _want(self, class_name: str, service: int, again: bool, tenant: str) -> None:
         self._serial += 1
-        ask = Ask(class_name, "", time.monotonic())
+        ask = Ask(class_name, "", time.monotonic(), tenant=tenant)
         key = f"{self._serial:012x}"
         self.asks.append(ask)
         gateway, end = self._one_of(), ask.at + 5.0
@@ -288,7 +295,7 @@
             # The first two digits tell who handed it out: the key that servers see is of one try only
             # for safe work; keyed and unsafe work keeps its key, and is told apart by the digits.
             name = f"{int(gateway[1:]):02x}{key}" if class_name == "lookup" else f"{0xff:02x}{key}"
-            one = Try(gateway, class_name, name, time.monotonic(), 1.5)
+            one = Try(gateway, class_name, name, time.monotonic(), 1.5, tenant)
             ask.tries.append(one)
             self._serial += 1
             await self.owners[gateway].ask(one, f"{self._serial:016x}", service)
--- a/weldhatch/zones/keeper.py
+++ b/weldhatch/zones/keeper.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from weldhatch import interface as i
+from weldhatch.zones import fair
 from weldhatch.zones.budgets import Attempts, Ramp, Rates
 from weldhatch.zones.hush import Hush
 from weldhatch.zones.shares import Purse, Share
@@ -58,6 +59,7 @@
         self._probed: dict[str, float] = {}
         self._sized: tuple[float, dict[str, float], int] = (float("-inf"), {}, 0)  # when, and of how many
         self._ticked, self._cut = float("-inf"), Cut.NO
+        self._broke: dict[int, float] = {}  # machines whose connection ended, and when last
         self._away: dict[str, float] = {}  # places that we have left, and when
         self._fences: dict[str, set[str]] = {}  # by place: keys of ours to be told of
         self._maybe: dict[str, tuple[int, float]] = {}  # unsafe attempts that may have run: machine, and when
@@ -97,23 +99,31 @@
             else:
                 self.hush.ended(names[0], machine)
 
+    def broke(self, now: float, machine: int) -> None:
+        """A machine's connection has ended: it may be a new process, whatever lists say."""
+        if machine in self._machines:
+            self._broke[machine] = now
+
     def _listed(self, event: i.MachinesChanged) -> None:
         if event.form is i.ListForm.FAILED:
             return
         named = {machine.id for machine in event.machines}
         if event.form is not i.ListForm.DELTA:
             for machine in self._machines.keys() - named:
-                del self._machines[machine]
-                self.sight.gone(machine)
+                self._gone(machine)
         for machine in event.machines:
             if machine.state is i.MachineState.GONE:
-                self._machines.pop(machine.id, None)
-                self.sight.gone(machine.id)
+                self._gone(machine.id)
                 continue
             self._machines[machine.id] = machine
             zone = self._zone(machine)
             self.sight.listed(machine.id, zone, f"{zone}/{machine.cell}")
 
+    def _gone(self, machine: int) -> None:
+        self._machines.pop(machine, None)
+        self._broke.pop(machine, None)
+        self.sight.gone(machine)
+
     def _zone(self, machine: i.Machine) -> str:
         zones = self._settings.zones
         return zones[machine.zone] if 0 <= machine.zone < len(zones) else ""
@@ -174,7 +184,7 @@
                 self._leave(now, name)
             elif not gone and self._away.pop(name, None) is not None:
                 self._fences.pop(name, None)
-            if place.phase is not Phase.RETURNING:
+            if place.phase is not Phase.RETURNING and not (place.phase in AWAY and not gone):
                 self.purse.drop(name)
 
     def _inside(self, place: object, name: str) -> bool:
@@ -242,17 +252,36 @@
         phase, place = self.phase(machine)
         if phase in AWAY or self._held_back(now, machine):
             return "draining"
-        if phase is Phase.RETURNING and self.purse.left(now, place, self._uid_of(machine)) <= 0:
+        if self._by_share(now, machine, phase, place) and self.purse.left(
+                now, place, self._uid_of(machine)) <= 0:
             return "draining"
         return "ready"
 
-    def away(self, now: float, class_index: int, key: int) -> Away | None:
+    def _by_share(self, now: float, machine: int, phase: Phase, place: str) -> bool:
+        """Whether starts on a machine are taken from a share: where its place returns, and for those inside
+        a left one also where it may have started anew.
+
+        Guards against those who go on in a hall that is cut one way, and whose servers come back cold before
+        the others hear of them: each by itself would be the first to flood them.
+        """
+        if phase is Phase.RETURNING:
+            return True
+        entry = self.zones.at(place)
+        return (entry.phase in AWAY and self._inside(entry, place)
+                and now - self._broke.get(machine, float("-inf")) < self._settings.cold_us / 1e6)
+
+    def away(self, now: float, class_index: int, key: int, tenant: int = 0, cores: float = 0.0,
+             ) -> Away | None:
         """Why a request is turned away when it comes, and for how long; None where it is taken up."""
-        found = self._turned_away(now, class_index, key)
-        self.refused += found is not None
+        found = self._turned_away(now, class_index, key, tenant)
+        if found is not None:
+            self.refused += 1
+            # Guards against a tenant that seems to ask for less because it was turned away: its part would
+            # swing from second to second.
+            self.tally.wanted(now, class_index, tenant, cores)
         return found
 
-    def _turned_away(self, now: float, class_index: int, key: int) -> Away | None:
+    def _turned_away(self, now: float, class_index: int, key: int, tenant: int) -> Away | None:
         own = self.zones.at(self.own)
         if own.phase in AWAY and self._cut is not Cut.NO:
             # One in a left zone that still reaches the others' servers goes on for them.
@@ -266,14 +295,20 @@
                     return Away(min(WAIT_S, until - now), "its window by hall is not over")
                 del self._windows[text]
         name = self._settings.classes[class_index].name
-        part = max((place.shed.get(name, 0.0) for place in self.zones.entries.values()
+        whose = self._tenant(tenant)
+        part = max((place.part(name, whose) for place in self.zones.entries.values()
                     if place.phase in AWAY), default=0.0)
         if part and self._random.random() < part:
-            return Away(WAIT_S, f"the rest can't bear it: {part:.0%} of {name} is turned away")
+            return Away(WAIT_S, f"the rest can't bear it: {part:.0%} of {whose or 'all'}'s {name} is turned "
+                                "away")
         if self._away and (wait := self.ramp.wait(now, self._random.random())):
             return Away(wait, "work moves over by steps")
         return None
 
+    def _tenant(self, tenant: int) -> str:
+        tenants = self._settings.tenants
+        return tenants[tenant].name if 0 <= tenant < len(tenants) else ""
+
     def stops(self, now: float, machine: int, attempt: int) -> str:
         """Why a start may not leave at this moment; '' where it may, which spends what it needs.
 
@@ -288,10 +323,10 @@
             return "its zone says nothing"
         if attempt and not self.attempts.again(bool(self._trouble())):
             return "the budget of second attempts is spent"
-        if phase is Phase.RETURNING:
+        if self._by_share(now, machine, phase, place):
             if not self.purse.spend(now, place, self._uid_of(machine)):
                 return f"no share of {place} is left"
-            self.tally.at(place).sent += 1
+            self.tally.at(place).sent += phase is Phase.RETURNING
         if names := self._names(machine):
             self.rates.add(now, names[0])
             self.hush.sent(now, names[0], machine)
@@ -346,9 +381,16 @@
         for machine, cores in self.tally.cores_on.items():
             if names := self._names(machine):
                 stands[names[0]] = round(stands.get(names[0], 0.0) + cores, 1)
-        rates = {cls.name: round(self.tally.rate(now, n), 1) for n, cls in enumerate(self._settings.classes)}
-        out |= {"stands": stands, "rates": {name: rate for name, rate in rates.items() if rate},
+        rates: dict[str, float] = {}
+        by_tenant: dict[tuple[str, str], float] = {}
+        for (class_index, tenant), rate in self.tally.rates(now).items():
+            name = self._settings.classes[class_index].name
+            rates[name] = rates.get(name, 0.0) + rate
+            by_tenant[name, self._tenant(tenant)] = rate
+        out |= {"stands": stands, "rates": {name: round(rate, 1) for name, rate in rates.items() if rate},
                 "size": self._size(now), "refused": self.refused}
+        if len(self._settings.tenants) > 1:
+            out["tenants"] = fair.rates_told(by_tenant)
         if starts := {name: [one.sent, one.ran, one.trouble] for name, one in self.tally.starts.items()
                       if self.zones.at(name).phase is not Phase.SERVING}:
             out["starts"] = starts
--- a/weldhatch/zones/marshal.py
+++ b/weldhatch/zones/marshal.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from weldhatch import interface as i
-from weldhatch.zones import room
+from weldhatch.zones import fair, room
 from weldhatch.zones.shares import Ledger, Share
 from weldhatch.zones.sight import Cut, Look
 from weldhatch.zones.state import AWAY, OPERATOR, STEPS, Phase, Place, Zones
@@ -154,7 +154,8 @@
             watched = self._watch(now, name, place, seen)
             if (command := self._change(now, name, place, watched, seen, zones, settings, held)) is not None:
                 out.append({"do": "zone", "place": name, "number": place.number, "flaps": place.flaps,
-                            "by": "fleet", "inside": place.inside, "shed": place.shed, **command})
+                            "by": "fleet", "inside": place.inside, "shed": place.shed,
+                            "tenants": {} if command.get("shed") == {} else place.tenants, **command})
         self._sample(now, zones)
         return out
 
@@ -177,8 +178,19 @@
                         ("up", self._agreed(now, name, up, down)),
                         ("calm", not down or len(up) > len(down)), ("inside", not inside)):
             setattr(watched, key, min(getattr(watched, key), now) if so else float("inf"))
+        if watched.down <= now and now - self._began <= self.times.fresh:
+            watched.down = min(watched.down, now - self._down_s(now, name, down))
         return watched
 
+    def _down_s(self, now: float, name: str, down: list[str]) -> float:
+        """For how long a third of all members, a quorum at least, have called a place down, by their own
+        clocks. Guards a new leader against finding out anew what everybody knows, and the fleet against one
+        that says it has known for ever."""
+        told = [self.reports[one] for one in down]
+        spans = sorted((now - one.at + sum(one.told["looks"][name][4:5]) / 1e3 for one in told), reverse=True)
+        need = max(self.times.quorum, -(-self._members // 3))
+        return spans[need - 1] if len(spans) >= need else 0.0
+
     def _counts(self, now: float, name: str) -> dict[str, tuple[int, int, int]]:
         return {one.life: tuple(one.told.get("starts", {}).get(name, (0, 0, 0))) for one in self._fresh(now)}
 
@@ -204,6 +216,8 @@
         match place.phase:
             case Phase.SERVING if watched.down <= now and self._may_leave(name, zones, settings):
                 flaps = 0 if age >= times.served else place.flaps
+                if is_down and "/" not in name and 3 * len(down) >= self._members:
+                    return self._leave(now, name, zones, settings, flaps, down, up, inside)
                 return {"phase": "suspected", "witnesses": down, "flaps": flaps,
                         "why": f"{len(down)} call it down, {len(up)} up"}
             case Phase.SUSPECTED:
@@ -226,9 +240,10 @@
                     free, size = self._free(now, name, zones, settings)
                     fresh = room.shed_of(room.next_level(
                         room.level_of(place.shed), free, size, len(settings.classes)), settings.classes)
-                    if fresh != place.shed:
-                        return {"phase": "left", "shed": fresh, "why": place.why, "by": place.by,
-                                "witnesses": place.witnesses}
+                    tenants = self._by_tenant(now, fresh, settings)
+                    if fresh != place.shed or fair.moved(place.tenants, tenants):
+                        return {"phase": "left", "shed": fresh, "tenants": tenants, "why": place.why,
+                                "by": place.by, "witnesses": place.witnesses}
             case Phase.RETURNING:
                 return self._return(now, name, place, watched, zones, settings, down, up, inside, is_down)
         return None
@@ -251,8 +266,8 @@
         if shed:
             why += "; the rest can't bear all: " + ", ".join(
                 f"{part:.0%} of {cls}" for cls, part in shed.items())
-        return {"phase": "leaving", "witnesses": down, "inside": bool(inside), "shed": shed, "flaps": flaps,
-                "why": why}
+        return {"phase": "leaving", "witnesses": down, "inside": bool(inside), "shed": shed,
+                "tenants": self._by_tenant(now, shed, settings), "flaps": flaps, "why": why}
 
     def _return(self, now: float, name: str, place: Place, watched: Watched, zones: Zones,
                 settings: i.Settings, down: list[str], up: list[str], inside: list[str],
@@ -306,6 +321,9 @@
         return room.shed_of(room.first_level(self.need(now, name, zones, settings), rates, settings.classes),
                             settings.classes)
 
+    def _by_tenant(self, now: float, shed: Mapping[str, float], settings: i.Settings) -> dict:
+        return fair.of_shed(shed, [one.told for one in self._fresh(now)], settings.tenants)
+
     def operator(self, now: float, told: Mapping, zones: Zones, settings: i.Settings) -> dict:
         """An operator's word as a command, or {"error": ...}: leave, return, hold, release."""
         name, word = told["place"], told["word"]
@@ -324,7 +342,9 @@
                 if not told.get("despite") and "/" not in name and need.short > room.SHED_LEAST:
                     return {"error": "room", "text": f"{name} carries {need.carried:.1f} cores and the rest "
                             f"has {need.free:.1f} free: it can't bear {need.short:.0%} of it"}
-                return {**base, "phase": "leaving", "shed": self.shed(now, name, zones, settings)}
+                shed = self.shed(now, name, zones, settings)
+                return {**base, "phase": "leaving", "shed": shed,
+                        "tenants": self._by_tenant(now, shed, settings)}
             case "return":
                 if place.phase is not Phase.LEFT:
                     return {"error": "order",
@@ -337,11 +357,13 @@
     def shares(self, now: float, life: str, zones: Zones, settings: i.Settings) -> list[Share]:
         """What one dispatcher may start on machines that return, and for how long."""
         out = []
-        present = [one.life for one in self._fresh(now)]
+        present = {one.life: one.told.get("zone", "") for one in self._fresh(now)}
         for name, place in zones.entries.items():
-            if place.phase is Phase.RETURNING:
-                pace = settings.cold_sends * place.step / STEPS
-                share = self.ledger.ask(now, name, life, pace, present)
+            step, lives = place.step, list(present)
+            if place.phase in AWAY and place.inside:  # for machines there that start anew under those inside
+                step, lives = 1, [one for one, own in present.items() if own == name.partition("/")[0]]
+            if place.phase is Phase.RETURNING or (place.phase in AWAY and life in lives and place.inside):
+                share = self.ledger.ask(now, name, life, settings.cold_sends * step / STEPS, lives)
                 if share is not None:
                     out.append(share)
         return out
--- a/weldhatch/zones/sight.py
+++ b/weldhatch/zones/sight.py
@@ -115,6 +115,7 @@
         self._places: dict[str, Counter[str]] = {zone: Counter() for zone in self.zones}  # racks listed there
         self._heard: dict[int, None] = {}  # machines by their last sign, the newest last
         self._counted: tuple[float, dict[str, Counts]] = (float("-inf"), {})
+        self._down: dict[str, float] = {}  # places that look down, and since when
 
     def extend(self, zones: Iterable[str]) -> None:
         """Other zones may have come at the end."""
@@ -180,6 +181,8 @@
         out = {place: next((one[place] for one in spans if one[place].enough), last)
                for place, last in spans[-1].items()}
         self._counted = now, out
+        self._down = {place: self._down.get(place, now) for place, one in out.items()
+                      if one.look() is Look.DOWN}
         return out
 
     def cut(self, now: float) -> Cut:
@@ -194,7 +197,11 @@
         return Cut.NO
 
     def report(self, now: float, named: Iterable[str] = ()) -> dict:
-        """Looks by place, for the leader: all zones, racks that are down, and the racks `named`."""
+        """Looks by place, for the leader: all zones, racks that are down, and the racks `named`.
+
+        Each is the look, machines that answer, that fail, that are listed, and where it is down for how many
+        milliseconds it has been so.
+        """
         counts = self.counts(now)
         racks = [name for name in named if "/" in name and name in counts]
         racks += [name for name, one in counts.items()
@@ -203,4 +210,6 @@
         for name in [*self.zones, *racks[:RACKS_MOST]]:
             one = counts[name]
             out[name] = [one.look().value, one.good, one.failing, one.listed]
+            if (since := self._down.get(name)) is not None:
+                out[name].append(int(1000 * (now - since)))
         return {"zone": self.own, "cut": self.cut(now).value, "looks": out}
--- a/weldhatch/zones/state.py
+++ b/weldhatch/zones/state.py
@@ -48,12 +48,17 @@
     step: int = 0  # of a return
     inside: bool = False  # dispatchers in the zone go on there: only those outside have left
     shed: dict[str, float] = field(default_factory=dict)  # by class, the part that the rest can't bear
+    tenants: dict[str, dict[str, float]] = field(default_factory=dict)  # by class, each tenant's part of it
     flaps: int = 0  # times it was left again soon
     held: bool = False  # by an operator: nothing changes by itself
     by: str = ""
     why: str = ""
     witnesses: list[str] = field(default_factory=list)
 
+    def part(self, cls: str, tenant: str = "") -> float:
+        """Of a tenant's new work of a class, what is turned away while the place is left."""
+        return self.tenants.get(cls, {}).get(tenant, self.shed.get(cls, 0.0))
+
 
 class Zones:
     """`take` carries a command out; `entries` holds every place that is not simply serving, or was not."""
@@ -89,7 +94,7 @@
         self.number += 1
         self.entries[name] = Place(
             phase, self.number, index, int(told.get("step", 0)), bool(told.get("inside", False)),
-            dict(told.get("shed", {})), int(told.get("flaps", last.flaps)),
+            dict(told.get("shed", {})), dict(told.get("tenants", {})), int(told.get("flaps", last.flaps)),
             bool(told.get("held", last.held)), told.get("by", ""), told.get("why", ""),
             list(told.get("witnesses", ()))[:WITNESSES_MOST])
         if phase is Phase.SERVING:
--- a/weldhatch/zones/tally.py
+++ b/weldhatch/zones/tally.py
@@ -41,8 +41,8 @@
 class Tally:
     def __init__(self) -> None:
         self._arrived: dict[int, Asked] = {}
-        self._rates: dict[int, deque[tuple[float, float]]] = {}
-        self._sums: dict[int, float] = {}
+        self._rates: dict[tuple[int, int], deque[tuple[float, float]]] = {}  # by class and tenant
+        self._sums: dict[tuple[int, int], float] = {}
         self.standing: dict[int, Standing] = {}
         self.by_machine: dict[int, set[int]] = {}  # requests that stand there
         self.starts: dict[str, Starts] = {}  # by place
@@ -52,21 +52,25 @@
         self._arrived[e.request] = Asked(e.class_index, e.cores, e.key)
         if len(self._arrived) > ARRIVED_MOST:
             del self._arrived[next(iter(self._arrived))]
-        self._rates.setdefault(e.class_index, deque()).append((now, e.cores))
-        self._sums[e.class_index] = self._sums.get(e.class_index, 0.0) + e.cores
-        self._prune(now, e.class_index)
+        self.wanted(now, e.class_index, e.tenant, e.cores)
 
-    def _prune(self, now: float, class_index: int) -> None:
-        told = self._rates[class_index]
+    def wanted(self, now: float, class_index: int, tenant: int, cores: float) -> None:
+        """New work, whether it was taken up or not."""
+        key = class_index, tenant
+        self._rates.setdefault(key, deque()).append((now, cores))
+        self._sums[key] = self._sums.get(key, 0.0) + cores
+        self._prune(now, key)
+
+    def _prune(self, now: float, key: tuple[int, int]) -> None:
+        told = self._rates[key]
         while told and now - told[0][0] > RATE_S:
-            self._sums[class_index] -= told.popleft()[1]
-
-    def rate(self, now: float, class_index: int) -> float:
-        """Cores a second of new work."""
-        if class_index not in self._rates:
-            return 0.0
-        self._prune(now, class_index)
-        return max(0.0, self._sums[class_index]) / RATE_S
+            self._sums[key] -= told.popleft()[1]
+
+    def rates(self, now: float) -> dict[tuple[int, int], float]:
+        """Cores a second of new work, by class and tenant."""
+        for key in self._rates:
+            self._prune(now, key)
+        return {key: max(0.0, cores) / RATE_S for key, cores in self._sums.items()}
 
     def adopted(self, e: i.TaskAdopted) -> None:
         self._stand(e.request, Standing(e.class_index, e.cores, e.key, e.machine))
