Answer at once a voter that comes back and asks how far the others are

The voter that had come back had one `Seen` of two: a link that a voter dials tells of itself, and the others' own links to it back off for up to 2 s before they are up (`agreement/peers.py: _link`). Ruled out: terms and the length of logs, equal on all three.

Lines: `consensus/raft.py: greet`. Its `Seen` asks now, and is answered by one.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -411,3 +411,24 @@
     assert not older_copy_votes()
     monkeypatch.setattr(Vouched, "far", lambda *_: (0, 0))
     assert older_copy_votes()
+
+
+def test_who_comes_back_is_answered_at_once_and_who_is_new_asks_nobody():
+    """The others' own links to it may take seconds to come up again."""
+    voters = Voters(5)
+    for _ in range(300):
+        voters.step()
+    back, other = voters.names[:2]
+    assert not [say for say in voters.nodes[other].out if isinstance(say, Say)]
+    saved = Saved()
+    for word in voters.disks[back]:
+        saved.take_word(*json.loads(json.dumps(word)))
+    one = Raft(back, saved, Times(), voters.random, voters.now)
+    one.greet(other)
+    (asked,) = [say.message for say in one.out]
+    assert asked.asks
+    voters.nodes[other].hear(voters.now, back, asked)
+    told = voters.nodes[other].out[-1].message
+    assert (told.asks, told.last_index) == (False, voters.nodes[other].saved.last)
+    voters.nodes[other].greet(back)
+    assert not voters.nodes[other].out[-1].message.asks  # it has never been down
--- a/weldhatch/consensus/messages.py
+++ b/weldhatch/consensus/messages.py
@@ -93,13 +93,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Seen:
-    """The first word on a new link: `seen` as in AskVote, and how far the sender is."""
+    """The first word on a new link: `seen` as in AskVote, and how far the sender is.
+
+    `asks`: it wants to hear the same of the other side, at once.
+    """
 
     lineage: int
     seen: int
     term: int = 0
     last_term: int = 0
     last_index: int = 0
+    asks: bool = False
 
 
 Message = AskVote | Vote | Append | Appended | Install | StandNow | Seen
--- a/weldhatch/consensus/raft.py
+++ b/weldhatch/consensus/raft.py
@@ -278,8 +278,10 @@
             self._lose(f"{name} has been told of {message.seen} records of this store, it holds "
                        f"{self.saved.writes}: it has lost its end, or is an older copy")
         match message:
-            case Seen(_, _, term, last_term, last_index):
+            case Seen(_, _, term, last_term, last_index, asks):
                 self._vouched.heard(name, term, (last_term, last_index))
+                if asks:
+                    self._greet(name, False)
             case AskVote():
                 self._asked(now, name, message)
             case Vote(_, term, granted, pre):
@@ -306,8 +308,11 @@
 
     def greet(self, name: str) -> None:
         """A link is up: tell the other side what we know of its store."""
+        self._greet(name, self._vouched.waits)
+
+    def _greet(self, name: str, asks: bool) -> None:
         self.out.append(Say(name, Seen(
-            self.saved.lineage, self.seen.get(name, 0), self.saved.term, *self._log)))
+            self.saved.lineage, self.seen.get(name, 0), self.saved.term, *self._log, asks)))
 
     def _told(self, now: float, name: str, told: Append) -> None:
         saved = self.saved
--- a/weldhatch/consensus/vouched.py
+++ b/weldhatch/consensus/vouched.py
@@ -22,6 +22,11 @@
         self._heard: dict[str, Log] = {}
         self.term = 0  # the greatest that anybody has reached
 
+    @property
+    def waits(self) -> bool:
+        """Whether it wants to hear of others: it came back with a store that holds something."""
+        return self._until != float("-inf")
+
     def trust(self) -> None:
         """There is nothing that the store could have lost: it is new, or counts from now on."""
         self._until = float("-inf")
