--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -4,7 +4,8 @@
 
 The last line is one JSON object:
 
-    seeds, seeds_per_s       of the mixed scenario (3 gateways) and of five gateways
+    seeds, seeds_per_s       of all scenarios; a second of the mixed one (3 gateways), of five, of halls
+    minutes_for_10000        of the mixed scenario, at that pace
     fault_points             faults thrown, and kills at each write to a store or the wire of a short play
     enumerated               the latter alone
     broken                   plays in which a promise did not hold
@@ -71,6 +72,11 @@
     print("five:", five, flush=True)
     queue = many("queue", 100 if quick else 2_000, workers)
     print("queue:", queue, flush=True)
+    halls = many("halls", 60 if quick else 1_000, workers)
+    print("halls:", halls, flush=True)
+    others = [many(name, 40 if quick else 1_000, workers)
+              for name in ("copies", "morning", "clocks", "again")]
+    print("copies, morning, clocks, again:", others, flush=True)
     points = kills(25 if quick else 1, workers)
     print("kills:", points, flush=True)
     found = {}
@@ -82,9 +88,11 @@
         play(seed, SCENARIOS["calm"])
     calm = SCENARIOS["calm"]
     speed = 3 * (CALM_S + calm.storm_s + calm.heal_s) / (time.perf_counter() - began)
-    plays = (mixed, five, queue)
+    plays = (mixed, five, queue, halls, *others)
     print(json.dumps({
         "seeds": sum(one["seeds"] for one in plays), "seeds_per_s": mixed["seeds_per_s"],
+        "minutes_for_10000": round(10_000 / mixed["seeds_per_s"] / 60, 1),
+        "halls_seeds_per_s": halls["seeds_per_s"],
         "five_seeds_per_s": five["seeds_per_s"], "queue_seeds_per_s": queue["seeds_per_s"],
         "fault_points": sum(one["thrown"] for one in plays) + points["points"],
         "enumerated": points["points"],
