Refuse plans of faults that a scenario can't play, and say which and why

Need: a plan with a hall's fault, or of a gateway that a scenario lacks, ended `weldhatch sim replay` with a KeyError.

Measured: three plans that can't be played are named by their fault.

--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -318,4 +318,9 @@
             path.write_text('[[2.5, "kill", "g0", 0.5, ""], [3, "flood", "g0", 1, ""]]')
             self.assertIn("fault 2: 'flood' is no kind of fault",
                           str(self.call("replay", "1", "--plan", str(path)).exception))
+            for plan, why in (('[[2.5, "hall dead", "south", 0.5, ""]]', "is not played in mixed"),
+                              ('[[2.5, "kill", "g7", 0.5, ""]]', "is of one of g0, g1, g2, not 'g7'"),
+                              ('[[2.5, "pair", "g0", 0.5, ""]]', "fault 1: pair is of one of")):
+                path.write_text(plan)
+                self.assertIn(why, str(self.call("replay", "1", "--plan", str(path)).exception))
         self.assertIn("there is no 'what'", str(self.call("run", "--scenario", "what").exception))
--- a/weldhatch/cli/sim.py
+++ b/weldhatch/cli/sim.py
@@ -20,7 +20,7 @@
 from weldhatch import config
 from weldhatch.sim import faults
 from weldhatch.sim.faults import Fault
-from weldhatch.sim.play import SCENARIOS, Result, Scenario, play, plan_of
+from weldhatch.sim.play import SCENARIOS, Result, Scenario, play, plan_of, unfit
 
 SHOWN = 10  # broken seeds that are listed
 
@@ -184,6 +184,8 @@
     fixed_hashes()
     chosen = _scenario(scenario)
     plan = read_plan(plan_file) if plan_file else plan_of(seed, chosen)
+    if why := unfit(plan, chosen):
+        raise config.ConfigError(f"{plan_file}: {why}")
     at = None
     if kill:  # in a play that nothing else disturbs
         who, _, point = kill.partition(":")
--- a/weldhatch/sim/faults.py
+++ b/weldhatch/sim/faults.py
@@ -9,6 +9,7 @@
 KINDS = {  # how often each is drawn
     "kill": 5, "stop": 3, "cut": 2, "apart": 4, "deaf": 3, "mute": 3, "pair": 3, "slow disk": 2,
     "full disk": 2, "fast clock": 1, "slow clock": 1, "wall clock": 1, "older copy": 1}
+HALL_KINDS = ("hall dead", "hall cut", "hall mute", "kill", "stop")  # of plays over halls
 DRIFT = 0.01  # of a clock that runs wrong: under what the agreement allows
 LEAP_S = 30.0  # of a wall clock that is set
 
@@ -34,8 +35,8 @@
             fault = cls(float(at), str(kind), str(who), float(span), str(other))
         except (TypeError, ValueError):
             raise ValueError(f"a fault is [at, kind, who, span, other], not {tree!r}") from None
-        if fault.kind not in KINDS:
-            raise ValueError(f"{fault.kind!r} is no kind of fault: there are {', '.join(KINDS)}")
+        if fault.kind not in (known := dict.fromkeys((*KINDS, *HALL_KINDS))):
+            raise ValueError(f"{fault.kind!r} is no kind of fault: there are {', '.join(known)}")
         if not (fault.at >= 0 and fault.span >= 0):
             raise ValueError(f"a fault begins and lasts for no less than 0 seconds, not {tree!r}")
         return fault
--- a/weldhatch/sim/play.py
+++ b/weldhatch/sim/play.py
@@ -415,6 +415,20 @@
                        scenario.kinds)
 
 
+def unfit(plan: list[Fault], scenario: Scenario) -> str:
+    """What a scenario can't play of a plan, by the number of the fault; '' where it can play all."""
+    kinds = faults.HALL_KINDS if scenario.halls else tuple(faults.KINDS)
+    gateways = [f"g{n}" for n in range(scenario.gateways)]
+    for n, fault in enumerate(plan, 1):
+        names = halls.HALLS if fault.kind.startswith("hall") else gateways
+        if fault.kind not in kinds:
+            return f"fault {n}: {fault.kind!r} is not played in {scenario.name}, only {', '.join(kinds)}"
+        if fault.who not in names or (fault.kind == "pair" and fault.other not in names):
+            told = f"{fault.who!r} {fault.other!r}".removesuffix(" ''")
+            return f"fault {n}: {fault.kind} is of one of {', '.join(names)}, not {told}"
+    return ""
+
+
 def _play_of(world: World, scenario: Scenario, plan: list[Fault]) -> Play | halls.HallPlay:
     if scenario.halls:
         return halls.HallPlay(world, scenario.gateways, scenario.tasks, plan, scenario.storm_s,
