Say what a reset is once; untangle three conditions of shares and votes

Cause: a read of the whole change found the linger of a reset written twice (net/connection.py, sim/wires.py), a double negation in zones/keeper.py, one condition asked twice in zones/marshal.py, and one of consensus/raft.py that was hard to read. Result: behaviour as before; 290 tests of these parts pass.

--- a/weldhatch/consensus/raft.py
+++ b/weldhatch/consensus/raft.py
@@ -246,8 +246,8 @@
             return
         if ask.term > saved.term:
             self._follow(ask.term, "", now)
-        granted = (current and ask.term == saved.term and saved.vote in ("", name)
-                   and not (saved.vote != name and self._vouched.spent(now, ask.term)))
+        free = saved.vote == name or (not saved.vote and not self._vouched.spent(now, ask.term))
+        granted = current and ask.term == saved.term and free
         if granted and not saved.vote:
             self._write("vote", saved.lineage, saved.term, name)
             self._since = now
--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -21,6 +21,7 @@
 MESSAGE_MOST = 16 * 1024  # a longer message closes its connection
 IN_MOST = MESSAGE_MOST + 2048  # one message, and the start of the next
 OUT_MOST = 128 * 1024  # a peer that leaves so much unread is closed
+NO_LINGER = struct.pack("ii", 1, 0)  # of SO_LINGER: a close resets
 
 
 class Malformed(Exception):
@@ -150,7 +151,7 @@
         """
         if not self.closed:
             with contextlib.suppress(OSError, AttributeError):  # of one that has just ended
-                self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self.close()
 
     async def finish(self, within: float) -> None:
--- a/weldhatch/sim/wires.py
+++ b/weldhatch/sim/wires.py
@@ -9,17 +9,16 @@
 import asyncio
 import itertools
 import socket as system
-import struct
 from collections import deque
 from collections.abc import Callable
 from random import Random
 
 from tornado.iostream import StreamClosedError
 
+from weldhatch.net.connection import NO_LINGER
 from weldhatch.sim.loop import LIFE, Life, VirtualLoop
 
 Endpoint = tuple[str, int]
-NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Wires:
--- a/weldhatch/zones/keeper.py
+++ b/weldhatch/zones/keeper.py
@@ -186,7 +186,7 @@
                 self._leave(now, name)
             elif not gone and self._away.pop(name, None) is not None:
                 self._fences.pop(name, None)
-            if place.phase is not Phase.RETURNING and not (place.phase in AWAY and not gone):
+            if gone or place.phase in (Phase.SERVING, Phase.SUSPECTED):
                 self.purse.drop(name)
 
     def _inside(self, place: object, name: str) -> bool:
--- a/weldhatch/zones/marshal.py
+++ b/weldhatch/zones/marshal.py
@@ -359,10 +359,14 @@
         out = []
         present = {one.life: one.told.get("zone", "") for one in self._fresh(now)}
         for name, place in zones.entries.items():
-            step, lives = place.step, list(present)
-            if place.phase in AWAY and place.inside:  # for machines there that start anew under those inside
+            if place.phase is Phase.RETURNING:
+                step, lives = place.step, list(present)
+            elif place.phase in AWAY and place.inside:  # for machines that start anew under those inside
                 step, lives = 1, [one for one, own in present.items() if own == name.partition("/")[0]]
-            if place.phase is Phase.RETURNING or (place.phase in AWAY and life in lives and place.inside):
+            else:
+                continue
+            # Only those inside have shares of a left place; in a return, also one of whom no report is fresh.
+            if place.phase is Phase.RETURNING or life in lives:
                 share = self.ledger.ask(now, name, life, settings.cold_sends * step / STEPS, lives)
                 if share is not None:
                     out.append(share)
