Tell owners in time of tasks whose server ends without a sign

Ruled out: releases lost on owners' connections (all went out on the owner's own), releases that were read and dropped (each message was logged), trials (none was made).

Change: a server that the list calls gone, with tasks of ours and a connection that looks open, is sent a test at once; one that drains or is gone may be quiet for 2 s in place of 4.

Both tests fail without the change.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 
 from weldhatch.core import ports
 from weldhatch.interface import Outcome
-from weldhatch.platform import binary, servers
+from weldhatch.platform import binary, servers, vigil
 from weldhatch.platform.fleet import number_of
 from weldhatch.platform.servers import Names
 
@@ -105,6 +105,27 @@
         await self.until(lambda: set(self.gateway.driver._policy._nodes) == {number_of("u-4")}, "one node")
         await self.play(SEND.format("a2", "unsafe") + "s1 send ANSWER a2\nowner expect STARTED a2")
 
+    async def test_a_process_that_ended_without_a_reset_is_found_out_once_the_list_says_gone(self):
+        """Its connection looks open: the test that the list's word brings about is what shows the end."""
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        await self.play(SEND.format("a1", "unsafe") + "s1 send ANSWER a1\nowner expect STARTED a1")
+        server = self.parties["s1"]
+        server.hung = True
+        server.server.close()  # no new connection comes up, and the open one says nothing
+        with unittest.mock.patch.object(self.gateway.servers, "patience", lambda server, now: 1e9):
+            self.bus.add([self.target("s1", "gone")])
+            await self.play("owner expect FINISH a1 cause=41")
+
+    async def test_a_draining_server_may_be_quiet_for_a_shorter_time(self):
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        await self.play(SEND.format("a1", "unsafe") + "s1 send ANSWER a1\nowner expect STARTED a1")
+        server = self.parties["s1"]
+        server.hung = True
+        server.server.close()
+        with unittest.mock.patch.object(vigil, "CALM_S", 1e9):
+            self.bus.add([self.target("s1", "draining")])
+            await self.play("owner expect FINISH a1 cause=41")
+
     async def test_what_waits_for_a_connection_is_not_sent_to_the_next_server_at_the_address(self):
         """Guards against a set-up that goes to a server it was not offered to, under another's uid."""
         await self.until(lambda: self.bus.writers, "the bus is read")
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -20,6 +20,10 @@
 WATCH_S = 0.1
 HALF_S = 0.4  # one that stops within a message for so long has lost its step
 STALL_S = 0.3  # a watch that comes so late tells of us, not of the servers
+# A server that drains or is gone is tested sooner. Its tasks may end without a word some seconds before its
+# process does, and a test that is answered in between shows nothing: little is left of the 8 s until their
+# owners must have heard.
+LEAVING_QUIET_S = 2.0
 LOST_TRIES = 2  # connects that never come up: the machine has vanished
 EXCUSES_MOST = 4  # connects that do come up while the old connection stays silent: it is given up
 UNCLAIMED_MOST, UNCLAIMED_S = 4096, 10.0  # releases of tasks that no owner has named yet, and how long
@@ -76,7 +80,7 @@
         self.replaced = False  # another server has the address: nothing goes there under this uid
 
     def send(self, name: object, data: bytes) -> None:
-        if self._up is not None and not self._up.closed:
+        if self.connected:
             if not self._asked or self._up.heard > self._asked:
                 self._asked = time.monotonic()
             self._up.send(data)
@@ -85,9 +89,13 @@
             self.open()
 
     def open(self) -> None:
-        if self._connecting is None and (self._up is None or self._up.closed):
+        if self._connecting is None and not self.connected:
             self._connecting = asyncio.get_running_loop().create_task(self._live())
 
+    @property
+    def connected(self) -> bool:
+        return self._up is not None and not self._up.closed
+
     def unsent(self, name: object) -> bool:
         """Take back what still waits for the connection; whether it did."""
         return self._pending.pop(name, None) is not None
@@ -346,7 +354,7 @@
             if server.boot_ms > old.boot_ms:
                 link.lose("has started anew", server.boot_ms / 1000)
             if server.state == i.MachineState.GONE and link.standing:
-                link.open()  # what stood there is lost if the machine is: the connect tells
+                self._ask_whether_alive(link)
 
     def _passed_on(self, server: Server) -> None:
         """Guards against a new server taken for the one that had its address: those tasks are over."""
@@ -452,6 +460,16 @@
         link.unsent(tag)
         done(i.Outcome.TIMEOUT, ())
 
+    def _ask_whether_alive(self, link: Link) -> None:
+        """Find out by a connect or a write whether the process of a server gone from the list still runs.
+
+        Guards against a process that ended and whose reset never came: its connection looks open.
+        """
+        if link.connected:
+            self.test(link)
+        else:
+            link.open()
+
     def test(self, link: Link) -> None:
         """A test that nobody waits for: any answer shows life, and its report is passed on."""
         message = self.test_message()
@@ -467,6 +485,9 @@
     # ---- what links ask for --------------------------------------------------------------------------------
 
     def patience(self, server: Server, now: float) -> float:
+        """Seconds for which a server with tasks of ours may be quiet."""
+        if server.state != i.MachineState.READY:
+            return min(LEAVING_QUIET_S, self._vigil.patience(now, server.zone, server.cell))
         return self._vigil.patience(now, server.zone, server.cell)
 
     def vanished(self, server: Server) -> None:
