Believe a lost server only where connects are refused, or fail for two seconds

Cause, each shown by a test that fails without its change: - A connection that came up and was reset before our turn counted as refused (platform/servers.py: any ConnectionError), and two dials over 0.25 s as a machine that vanished: all tasks on a live server were told as cut after 0.7 s, though a connection may take 1 s and 8 s are allowed.

--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -21,6 +21,7 @@
 MESSAGE_MOST = 16 * 1024  # a longer message closes its connection
 IN_MOST = MESSAGE_MOST + 2048  # one message, and the start of the next
 OUT_MOST = 128 * 1024  # a peer that leaves so much unread is closed
+READ_TURNS = 4  # turns of the event loop in which what has come is read, parsed and answered
 NO_LINGER = struct.pack("ii", 1, 0)  # of SO_LINGER: a close resets
 
 
@@ -159,8 +160,11 @@
         self.close()
 
     async def finish(self, within: float) -> None:
-        """Close once all that was sent has left, or when the time is up."""
-        await self._emptied(time.monotonic() + within)
+        """Close once what has come by now is answered and all of that has left, or when the time is up."""
+        end = time.monotonic() + within
+        for _ in range(READ_TURNS):
+            await asyncio.sleep(0)
+        await self._emptied(end)
         self.close()
 
     async def linger(self, within: float) -> None:
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -25,7 +25,10 @@
 # process does, and a test that is answered in between shows nothing: little is left of the 8 s until their
 # owners must have heard.
 LEAVING_QUIET_S = 2.0
-LOST_TRIES = 2  # connects that never come up: the machine has vanished
+LOST_TRIES = 2  # connects that never come up beside a silent connection: the machine has vanished
+LOST_S = 2.0  # no connection has come up for so long: the machine has vanished; one may take 1 s
+RECONNECT_S = 0.02  # after a connection that ended
+REDIAL_S = 0.1  # between two connects that fail
 EXCUSES_MOST = 4  # connects that do come up while the old connection stays silent: it is given up
 UNCLAIMED_MOST, UNCLAIMED_S = 4096, 10.0  # releases of tasks that no owner has named yet, and how long
 LATE_ANSWER_S = 5.0  # so long after it was given up, a set-up may still be answered
@@ -145,23 +148,20 @@
 
         A machine that still holds tasks of ours is connected to again, to hear how they end.
         """
-        tries = 0
+        failing_since = 0.0
         try:
             while True:
+                pause = REDIAL_S
                 try:
                     self._up = await self._dial()
                 except NoDescriptor:
                     self._not_sent(i.Outcome.FULL)
                 except (OSError, TimeoutError) as error:
-                    tries += 1
+                    failing_since = failing_since or time.monotonic()
                     self._never_up()
-                    refused = isinstance(error, ConnectionError)
-                    if self.standing and (refused or tries >= LOST_TRIES):
-                        if not refused:
-                            self._servers.vanished(self.server)
-                        self.lose("refuses connections" if refused else "is silent")
+                    self._lose_if_ended(error, failing_since)
                 else:
-                    tries = 0
+                    failing_since, pause = 0.0, RECONNECT_S
                     self._send_what_waited(self._up)
                     try:
                         await self._up.pump(b.parse, self._handle)
@@ -169,11 +169,24 @@
                         self._broken()
                 if not (self.standing or self._pending):
                     return
-                await asyncio.sleep(0.02 if not tries else 0.2)
+                await asyncio.sleep(pause)
         finally:
             if self._connecting is asyncio.current_task():
                 self._connecting = None
 
+    def _lose_if_ended(self, error: Exception, failing_since: float) -> None:
+        """Whether connects that fail show the end of the process, and so of the tasks that stood there.
+
+        A connection that came up and was reset shows none; one that comes up late may do so the next time.
+        """
+        if not self.standing:
+            return
+        if isinstance(error, ConnectionRefusedError):
+            self.lose("refuses connections")
+        elif time.monotonic() - failing_since >= LOST_S:
+            self._servers.vanished(self.server)
+            self.lose("is silent")
+
     async def _dial(self) -> Connection:
         """A connection to the address that the list names at the moment it comes up."""
         while True:
