--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -470,6 +470,23 @@
         await self.goes_on(owner, link, rest)
 
 
+class Releases(Races):
+    async def test_a_release_waits_for_an_owner_and_does_not_go_to_a_client_that_never_asked(self):
+        await self.play(PLACE)
+        self.parties["silent"] = silent = Owner()
+        reader, writer = await asyncio.open_connection(
+            *self.gateway.listener.address, local_addr=("127.0.0.9", 0)
+        )
+        silent.task = asyncio.create_task(silent.serve(reader, writer))
+        await self.until(lambda: len(self.gateway.owners.links) == 2, "the silent client is connected")
+        await self.play("owner close")
+        await self.until(lambda: len(self.gateway.owners.links) == 1, "the owner's connection has ended")
+        await self.play("s1 send RELEASE a1 cause=16")
+        await self.until(lambda: not self.gateway.core.lives, "the end was heard")
+        await self.play("owner2 send ECHO t0\nowner2 expect FINISH a1 cause=16")
+        self.assertTrue(silent.heard.empty())
+
+
 class PlannedEnd(Races):
     async def test_connections_that_wait_to_be_accepted_when_listening_ends_are_answered(self):
         """More than the listener accepts in one turn, each with a request written before listening ends."""
--- a/weldhatch/platform/owners.py
+++ b/weldhatch/platform/owners.py
@@ -33,6 +33,7 @@
 TAKEN_BACK_S = 0.02
 BACK_MOST = 16  # set-ups that a connection may take back in the moment it asks for them,
 TAKEN_BACK_SPAN_S = 1.0  # with less than this between two of them
+OWNER_HOSTS_MOST = 256  # hosts of owners that are remembered
 EVICTED = 16  # connections closed at a time where no descriptor is left
 
 
@@ -163,6 +164,8 @@
         self._answered(FAILED, {})
 
     def _answered(self, cause: int, fields: dict) -> None:
+        if self.gone:  # it has been forgotten, and its tag may be another's by now
+            return
         self._link.open.pop(self._tag, None)
         self._front.forget(self._tag)
         self._link.say(jsonl.encode("FINISH", self._tag, fields, cause))
@@ -187,6 +190,7 @@
         self.links: set[OwnerLink] = set()
         self._asked: dict[str, Asked] = {}
         self._unsent: list[bytes] = []  # releases that no connection was open for
+        self._owner_hosts: dict[str, None] = {}  # the one that asked the longest ago first
         self._tasks: set[asyncio.Task] = set()
         self._sweeping = asyncio.get_running_loop().create_task(self._sweep())
         self.ending = False  # the planned end: what comes now is refused at once
@@ -201,7 +205,7 @@
         task = asyncio.get_running_loop().create_task(link.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        if self._unsent:
+        if self._unsent and host in self._owner_hosts:
             self.flush(link)
 
     def start(self, link: OwnerLink, line: jsonl.Line) -> None:
@@ -213,6 +217,9 @@
             return  # it names a task that is held here already
         asked = self._asked[line.tag] = Asked(self, link, line.tag)
         link.asked = True
+        self._remember_host(link.host)
+        if self._unsent:
+            self.flush(link)
         if at:
             asked.stand()
             asked.life = self._core.adopt(task, number_of(at), asked)
@@ -241,18 +248,25 @@
             asked.forgotten()
 
     def relay(self, link: OwnerLink, data: bytes) -> None:
-        """A release may go out on any connection, or on the next one that is opened.
+        """A release may go out on any connection of an owner, or on the next one that is opened.
 
-        Guards against releases that go to those who never had a task: owners' connections come first.
+        Guards against releases that are lost with clients who never had a task, and read nothing.
         """
         if link.say(data):
             return
-        others = [other for other in self.links if not other.away]
-        for other in sorted(others, key=lambda other: (not other.asked, other.host != link.host)):
+        owners = [other for other in self.links if not other.away and other.host in self._owner_hosts]
+        for other in sorted(owners, key=lambda other: (not other.asked, other.host != link.host)):
             if other.say(data):
                 return
         self._unsent.append(data)
 
+    def _remember_host(self, host: str) -> None:
+        """Owners are told apart from those who only connect by where set-ups that can be read came from."""
+        self._owner_hosts.pop(host, None)
+        self._owner_hosts[host] = None
+        if len(self._owner_hosts) > OWNER_HOSTS_MOST:
+            del self._owner_hosts[next(iter(self._owner_hosts))]
+
     def flush(self, link: OwnerLink) -> None:
         unsent, self._unsent = self._unsent, []
         for n, data in enumerate(unsent):
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -318,7 +318,7 @@
                 except NoDescriptor:
                     self._asked = time.monotonic()
                     return
-                except ConnectionError:
+                except ConnectionRefusedError:
                     why = "is silent and refuses connections"
                     break
                 except (OSError, TimeoutError):
