Call the schedule of health checks what it is: platform/health_check.py

Need: names in touched code take the field's terms. Change: platform/vigil.py, Vigil, patience, CALM_S, ALARM_S, racks and halls become health_check, HealthCheckSchedule, quiet_limit, QUIET_S, SUSPECT_QUIET_S, cells and zones; nothing else.

--- /dev/null
+++ b/tests/test_health_check.py
@@ -0,0 +1,98 @@
+"""When quiet servers are tested: the rule on a clock of the test's, and beside a real server."""
+
+import unittest
+from unittest import mock
+
+from scenario import SETTINGS, Scenario
+
+from weldhatch.platform import health_check, servers
+from weldhatch.platform.health_check import (
+    SUSPECT_SPAN_S,
+    SUSPECT_QUIET_S,
+    QUIET_S,
+    CELLS_MOST,
+    HealthCheckSchedule,
+)
+
+
+PLACED = """
+    owner send START a1 class=safe
+    s1 expect SET_UP a1
+    s1 send ANSWER a1 | v=0
+    owner expect STARTED a1
+"""
+QUIET = {**SETTINGS, "limits": {**SETTINGS["limits"], "probes": False}}
+
+
+class QuietLimit(unittest.TestCase):
+    def test_what_follows_an_unanswered_test_still_ends_within_the_rules_eight_seconds(self):
+        trial = servers.SILENT_S + servers.LOST_TRIES * max(servers.SILENT_S, 0.25)
+        stalls = 3 * servers.STALL_S
+        self.assertLess(QUIET_S + 2 * servers.WATCH_S + trial + stalls, 8.0)
+
+    def test_a_vanished_server_makes_its_cell_suspect_for_a_while_and_no_other(self):
+        schedule = HealthCheckSchedule()
+        schedule.vanished(10.0, 0, 3)
+        self.assertEqual(
+            [SUSPECT_QUIET_S, QUIET_S, QUIET_S],
+            [
+                schedule.quiet_limit(10.1, 0, 3),
+                schedule.quiet_limit(10.1, 0, 4),
+                schedule.quiet_limit(10.1, 1, 3),
+            ],
+        )
+        self.assertEqual(QUIET_S, schedule.quiet_limit(10.1 + SUSPECT_SPAN_S, 0, 3))
+
+    def test_two_suspect_cells_make_their_zone_suspect_and_one_does_not(self):
+        schedule = HealthCheckSchedule()
+        schedule.vanished(10.0, 0, 3)
+        schedule.vanished(12.0, 0, 4)
+        self.assertEqual(
+            [SUSPECT_QUIET_S, QUIET_S], [schedule.quiet_limit(12.5, 0, 9), schedule.quiet_limit(12.5, 1, 9)]
+        )
+        self.assertEqual(
+            [QUIET_S, SUSPECT_QUIET_S], [schedule.quiet_limit(16.5, 0, 9), schedule.quiet_limit(16.5, 0, 4)]
+        )
+
+    def test_many_cells_are_remembered_within_a_bound(self):
+        schedule = HealthCheckSchedule()
+        for cell in range(3 * CELLS_MOST):
+            schedule.vanished(1.0, 0, cell)
+            schedule.vanished(1.0, 0, cell)  # a second server of the cell adds nothing
+        self.assertEqual(CELLS_MOST, len(schedule._cells))
+        self.assertEqual(CELLS_MOST, schedule._zones[0])
+        self.assertEqual(QUIET_S, schedule.quiet_limit(99.0, 0, 1))
+        self.assertEqual((0, 0), (len(schedule._cells), schedule._zones[0]))
+
+
+class Watching(Scenario):
+    settings = QUIET
+
+    async def test_a_quiet_server_is_left_alone_until_a_neighbour_vanishes(self):
+        """Tests are priced as probes: a quiet server gets none before its time, and one soon after its cell is suspect."""
+        await self.play(PLACED)
+        (link,) = self.gateway.servers._links.values()
+        watched, tested = [], []
+        watch, test = type(link).watch, servers.Servers.test
+        with (
+            mock.patch.object(health_check, "QUIET_S", 1000.0),
+            mock.patch.object(health_check, "SUSPECT_QUIET_S", 0.0),
+            mock.patch.object(servers, "SUSPECT_QUIET_S", 0.0),
+            mock.patch.object(type(link), "watch", lambda *a: (watched.append(a), watch(*a))),
+            mock.patch.object(servers.Servers, "test", lambda *a: (tested.append(a), test(*a))),
+        ):
+            await self.until(lambda: len(watched) >= 3, "the server is watched")
+            self.assertEqual([], tested)
+            self.gateway.servers.vanished(link.server)
+            await self.until(lambda: tested, "the neighbour of a vanished server is tested")
+
+
+class Reporting(Scenario):
+    async def test_what_a_tested_server_reports_reaches_the_module_without_a_probe(self):
+        """Guards against paying for a test of life and for a probe of the same server."""
+        await self.play(PLACED)
+        (link,) = self.gateway.servers._links.values()
+        (node,) = self.gateway.driver._policy._nodes.values()
+        self.parties["s1"].report = "x0:31;x1:77"
+        self.gateway.servers.test(link)
+        await self.until(lambda: node.asked.told == (31.0, 77.0), "the module hears the report")
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -66,7 +66,7 @@
     "weldhatch.state",
     "weldhatch.interface",
     "weldhatch.keys.tokens",
-    "weldhatch.platform.vigil",
+    "weldhatch.platform.health_check",
     *(f"weldhatch.sites.{name}" for name in ("lending", "routing", "session", "taking", "words")),
     *(
         f"weldhatch.pullqueue.{name}"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 
 from weldhatch.core import ports
 from weldhatch.interface import Outcome
-from weldhatch.platform import binary, servers, vigil
+from weldhatch.platform import binary, health_check, servers
 from weldhatch.platform.fleet import number_of
 from weldhatch.platform.servers import Names
 
@@ -112,7 +112,7 @@
         server = self.parties["s1"]
         server.hung = True
         server.server.close()  # no new connection comes up, and the open one says nothing
-        with unittest.mock.patch.object(self.gateway.servers, "patience", lambda server, now: 1e9):
+        with unittest.mock.patch.object(self.gateway.servers, "quiet_limit", lambda server, now: 1e9):
             self.bus.add([self.target("s1", "gone")])
             await self.play("owner expect FINISH a1 cause=41")
 
@@ -122,7 +122,7 @@
         server = self.parties["s1"]
         server.hung = True
         server.server.close()
-        with unittest.mock.patch.object(vigil, "CALM_S", 1e9):
+        with unittest.mock.patch.object(health_check, "QUIET_S", 1e9):
             self.bus.add([self.target("s1", "draining")])
             await self.play("owner expect FINISH a1 cause=41")
 
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -15,7 +15,7 @@
 from weldhatch.net.connection import Connection, Malformed, connect
 from weldhatch.platform import binary as b
 from weldhatch.platform.fleet import Server
-from weldhatch.platform.vigil import ALARM_S, Vigil
+from weldhatch.platform.health_check import SUSPECT_QUIET_S, HealthCheckSchedule
 
 SILENT_S = 0.5  # one that leaves a message unanswered, and says nothing, for so long is tried
 WATCH_S = 0.1
@@ -290,7 +290,7 @@
             return
         self._excuses = 0
         quiet = now - up.heard
-        if quiet > ALARM_S and self.standing and quiet > self._servers.patience(self.server, now):
+        if quiet > SUSPECT_QUIET_S and self.standing and quiet > self._servers.quiet_limit(self.server, now):
             self._servers.test(self)
 
     async def _try(self, up: Connection) -> None:
@@ -421,7 +421,7 @@
         self._links: dict[int, Link] = {}
         self._unclaimed: dict[bytes, tuple[float, ports.Ended]] = {}  # the oldest first
         self._unlisted: dict[int, dict[bytes, Held]] = {}  # tasks on machines that no list has named yet
-        self._tests, self._vigil = 0, Vigil()
+        self._tests, self._schedule = 0, HealthCheckSchedule()
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
     # ---- the list ------------------------------------------------------------------------------------------
@@ -618,14 +618,14 @@
 
     # ---- what links ask for --------------------------------------------------------------------------------
 
-    def patience(self, server: Server, now: float) -> float:
+    def quiet_limit(self, server: Server, now: float) -> float:
         """Seconds for which a server with tasks of ours may be quiet."""
         if server.state != i.MachineState.READY:
-            return min(LEAVING_QUIET_S, self._vigil.patience(now, server.zone, server.cell))
-        return self._vigil.patience(now, server.zone, server.cell)
+            return min(LEAVING_QUIET_S, self._schedule.quiet_limit(now, server.zone, server.cell))
+        return self._schedule.quiet_limit(now, server.zone, server.cell)
 
     def vanished(self, server: Server) -> None:
-        self._vigil.vanished(time.monotonic(), server.zone, server.cell)
+        self._schedule.vanished(time.monotonic(), server.zone, server.cell)
 
     def unclaimed(self, tag: bytes, ended: ports.Ended) -> None:
         """Guards against a race after a restart: the release may come before the owner names the task."""
