Divide platform/servers.py: one server's link, and the servers together

Change: platform/server_link.py holds ServerLink and what it asks of its owner (LinkOwner, a protocol); servers.py the list, offers and probes; the check of figures stands with the wire (binary.number). Whole module names in place of `i` and `b` there. No behaviour changes.

--- a/tests/test_health_check.py
+++ b/tests/test_health_check.py
@@ -5,7 +5,7 @@
 
 from scenario import SETTINGS, Scenario
 
-from weldhatch.platform import health_check, servers
+from weldhatch.platform import health_check, server_link, servers
 from weldhatch.platform.health_check import (
     SUSPECT_SPAN_S,
     SUSPECT_QUIET_S,
@@ -26,7 +26,7 @@
 
 class QuietLimit(unittest.TestCase):
     def test_what_follows_an_unanswered_test_still_ends_within_the_rules_eight_seconds(self):
-        trial = servers.SILENT_S + servers.LOST_TRIES * max(servers.SILENT_S, 0.25)
+        trial = server_link.SILENT_S + server_link.LOST_TRIES * max(server_link.SILENT_S, 0.25)
         stalls = 3 * servers.STALL_S
         self.assertLess(QUIET_S + 2 * servers.WATCH_S + trial + stalls, 8.0)
 
@@ -69,7 +69,7 @@
     settings = QUIET
 
     async def test_a_quiet_server_is_left_alone_until_a_neighbour_vanishes(self):
-        """Tests are priced as probes: a quiet server gets none before its time, and one soon after its cell is suspect."""
+        """Tests are priced as probes: a quiet server gets one only when it is due, or its cell is suspect."""
         await self.play(PLACED)
         (link,) = self.gateway.servers._links.values()
         watched, tested = [], []
@@ -77,7 +77,7 @@
         with (
             mock.patch.object(health_check, "QUIET_S", 1000.0),
             mock.patch.object(health_check, "SUSPECT_QUIET_S", 0.0),
-            mock.patch.object(servers, "SUSPECT_QUIET_S", 0.0),
+            mock.patch.object(server_link, "SUSPECT_QUIET_S", 0.0),
             mock.patch.object(type(link), "watch", lambda *a: (watched.append(a), watch(*a))),
             mock.patch.object(servers.Servers, "test", lambda *a: (tested.append(a), test(*a))),
         ):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -20,7 +20,7 @@
 from weldhatch.net import connection
 from weldhatch.net.budget import Budget, Share
 from weldhatch.platform import owners
-from weldhatch.platform.servers import EXCUSES_MOST, Link
+from weldhatch.platform.server_link import EXCUSES_MOST, ServerLink
 
 PLACE = """
     owner send START a1 class=keyed idem=5c | v=0
@@ -82,7 +82,7 @@
 
     async def crossed(self, word):
         """The word is told in the turn in which the answer is read, ahead of it."""
-        handle = Link._handle
+        handle = ServerLink._handle
 
         def crossing(link, message):
             if message.tag == tag("a1") and self.lives:
@@ -90,7 +90,7 @@
             handle(link, message)
 
         self.lives = []
-        with unittest.mock.patch.object(Link, "_handle", crossing):
+        with unittest.mock.patch.object(ServerLink, "_handle", crossing):
             await self.play("owner send START a1 class=keyed idem=5c\ns1 expect SET_UP a1")
             self.lives = list(self.gateway.core.lives)
             await self.play("s1 send ANSWER a1 | v=0 s=9")
--- a/weldhatch/platform/binary.py
+++ b/weldhatch/platform/binary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import struct
 from dataclasses import dataclass, field
@@ -84,6 +85,17 @@
     return Message(kind, tag, parameters)
 
 
+def number(text: str) -> float:
+    """A figure of a note or a report; Malformed where it is none, or not finite."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise Malformed(f"a figure that is no number: {text!r}")
+    return value
+
+
 def encode(kind: int, tag: bytes, parameters: dict[int, bytes] | None = None) -> bytes:
     parts = [b""]
     for code, value in (parameters or {}).items():
