Hear a client out before each attempt, also where its close is read late

Cause: a client that left while the event loop was held up was served all the same. What had been decided before the close was read went out first: an `Offer` is heard by the request's coroutine (core/life.py, `_place`) up to two turns before the read of the connection is handed on, and a set-up that waits for a server's connection (platform/server_link.py, `_live`) left in the step in which that came up. Seen: set-ups 0.20 s after a close, a reset, a half-close or a FINISH with cause 16, as long as the loop was held up; the term allows 0.1 s.

Change: `Connection.behind` tells whether something has come, or the connection has ended, that its reader has not handed on (one poll without waiting an attempt); a request gives the loop up to four turns while that is so, then takes its withdrawal before the offer. A connection to a server that has come up waits for the same four turns before what is pending leaves.

Not covered: a FINISH on another connection than the set-up's that is unread while the loop is held up.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -243,6 +243,7 @@
     """Starts a gateway with stand-ins round it; `play` runs the lines of a scenario."""
 
     servers = 1
+    server_class = Server
     settings = SETTINGS
     sockets = 256
 
@@ -252,7 +253,7 @@
         self.bus = self.parties["bus"] = Bus()
         await self.bus.listen()
         for n in range(1, self.servers + 1):
-            self.parties[f"s{n}"] = server = Server()
+            self.parties[f"s{n}"] = server = self.server_class()
             await server.listen()
         self.bus.add([self.target(f"s{n}") for n in range(1, self.servers + 1)], whole=True)
         await self.start()
--- a/weldhatch/core/life.py
+++ b/weldhatch/core/life.py
@@ -26,6 +26,7 @@
     TimeUp,
 )
 
+HEARD_OUT_TURNS = 4  # turns of the event loop in which what has come from an owner is read and told
 OVERDUE_US = 20_000  # the module answers before the deadline; so long after it, the core does
 
 
@@ -38,8 +39,9 @@
         self.unanswered = 0
         self.lives: set[Life] = set()
 
-    def arrive(self, task: Task, owner: Owner) -> Life:
-        return Life(self, task, owner, None)
+    def arrive(self, task: Task, owner: Owner, behind: Callable[[], bool] = lambda: False) -> Life:
+        """`behind`: whether the owner has said something, or has left, and nobody has read that yet."""
+        return Life(self, task, owner, None, behind=behind)
 
     def adopt(self, task: Task, machine: int, owner: Owner, answered: bool = True) -> Life:
         """A task that runs on a machine already, or may, comes into this dispatcher's care.
@@ -55,9 +57,16 @@
     shape of `_run`, which is the only place that answers, offers and ends."""
 
     def __init__(
-        self, core: Core, task: Task, owner: Owner, machine: int | None, answered: bool = True
+        self,
+        core: Core,
+        task: Task,
+        owner: Owner,
+        machine: int | None,
+        answered: bool = True,
+        behind: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
+        self._behind = behind
         self._core, self._driver, self._site = core, core.driver, core.site
         self.task, self._owner = task, owner
         self._attempts = 0
@@ -126,6 +135,9 @@
             while True:
                 match await self._next():
                     case i.Offer() as offer:
+                        if await self._given_up_by_now():
+                            self._words.append(offer)  # `_withdraw` ends it: it never left
+                            continue
                         over, placed = await self._attempt(offer)
                         if over:
                             return placed
@@ -158,6 +170,18 @@
             overdue.cancel()
             self._core.unanswered -= 1
 
+    async def _given_up_by_now(self) -> bool:
+        """Whether the owner waits no more, all that it has sent so far heard out.
+
+        Guards against a start for an owner that has left while the loop was busy: its close is read only
+        turns after what was decided before.
+        """
+        for _ in range(HEARD_OUT_TURNS):
+            if not self._behind():
+                break
+            await asyncio.sleep(0)
+        return any(isinstance(word, GivenUp) for word in self._words)
+
     async def _withdraw(self) -> None:
         """The request is over without the module's word.
 
--- a/weldhatch/net/connection.py
+++ b/weldhatch/net/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 import time
@@ -41,6 +42,7 @@
     def __init__(self, stream: IOStream, slots: Slots, name: str, log: Callable[[str], None]) -> None:
         self._stream, self._slots, self.name, self._log = stream, slots, name, log
         self._in, self._out = Ring(IN_MOST), Ring(OUT_MOST)
+        self._reading: asyncio.Future | None = None  # of `pump`, while it may still hand on something
         self._flushing: asyncio.Task | None = None
         self._flush_soon = False
         self.closed = self.reset = False
@@ -60,7 +62,8 @@
         """
         try:
             while not self.closed:
-                count = await self._stream.read_into(self._in.room(), partial=True)
+                self._reading = asyncio.ensure_future(self._stream.read_into(self._in.room(), partial=True))
+                count = await self._reading
                 self._in.filled(count)
                 self.heard = time.monotonic()
                 while not self.closed and (message := parse(self._in)) is not None:
@@ -78,13 +81,26 @@
             if not self.closed:
                 self._log(f"{self.name}: closed: {fault}")
                 if turn_away is not None:
+                    self._reading = None
                     await turn_away()
         except Exception:
             # Guards the process against a fault of ours in one message: that connection alone ends.
             self._log(f"{self.name}: closed: " + traceback.format_exc().replace("\n", " | "))
         finally:
+            self._reading = None
             self.close()
 
+    @property
+    def behind(self) -> bool:
+        """Whether something has come, or the connection has ended, and `pump` has not handed that on yet."""
+        if self._reading is None:
+            return False
+        if self._reading.done() or self.closed or self._stream.closed():
+            return True
+        poll = select.poll()
+        poll.register(self._stream.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def send(self, data: bytes) -> bool:
         """Queue the bytes; False where the connection is closed, or was for leaving too much unread."""
         if not self.queue(data):
--- a/weldhatch/platform/owners.py
+++ b/weldhatch/platform/owners.py
@@ -65,6 +65,10 @@
         self._give_up()
         await asyncio.sleep(AWAY_S)
 
+    def behind(self) -> bool:
+        """Whether its client has said something, or has closed it, and that is still to be read."""
+        return self.connection.behind
+
     def say(self, data: bytes) -> bool:
         """An answer or a release; False where the connection has ended.
 
@@ -227,7 +231,7 @@
             asked.refused(ENDING_WAIT_US)
         else:
             link.open[line.tag] = asked
-            asked.life = self._core.arrive(task, asked)
+            asked.life = self._core.arrive(task, asked, link.behind)
 
     def finish(self, link: OwnerLink, line: jsonl.Line) -> None:
         asked = self._asked.get(line.tag)
--- a/weldhatch/platform/server_link.py
+++ b/weldhatch/platform/server_link.py
@@ -11,6 +11,7 @@
 from weldhatch import interface
 from weldhatch.core import ports
 from weldhatch.core.driver import unix_us
+from weldhatch.core.life import HEARD_OUT_TURNS
 from weldhatch.net.budget import NoDescriptor
 from weldhatch.net.connection import Connection, Malformed
 from weldhatch.platform import binary
@@ -159,7 +160,7 @@
             while True:
                 pause = REDIAL_S
                 try:
-                    self._up = await self._dial()
+                    self._up = await self._come_up()
                 except NoDescriptor:
                     self._not_sent(interface.Outcome.FULL)
                 except (OSError, TimeoutError) as error:
@@ -193,6 +194,21 @@
             self._servers.vanished(self.server)
             self.lose("is silent")
 
+    async def _come_up(self) -> Connection:
+        """Connect, and hear out first those who may have left in the meantime.
+
+        Guards against a set-up that waited for the connection and goes out for an owner whose close came
+        while the loop was busy, and is read only turns later.
+        """
+        connection = await self._dial()
+        try:
+            for _ in range(HEARD_OUT_TURNS):
+                await asyncio.sleep(0)
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        return connection
+
     async def _dial(self) -> Connection:
         """A connection to the address that the list names at the moment it comes up."""
         while True:
