Hold the budget of cold machines over list changes, settings and slow dials

Causes, found by tests/test_cold_servers.py (24 and 30 gateways that share nothing, judged at the servers): - Policy._machines_changed dropped the node of a machine that is gone and held nothing of ours, and with it Node.sends; listed again with the same start, it got a new share at once: 30 dispatchers with N = 30, lists with ready, gone, ready 0.3 s apart, brought 48 set-ups within rules.fallUs, where 43.0 are allowed. - Policy.settle worked out a new share, but known nodes kept the old length of Node.sends: 8 offers in place of 1. - Set-ups that waited for a connection left together: 24 dispatchers with N = 24, connections up after 0.24 s, 47 within the span, where 35.8 are allowed.

--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -263,3 +263,41 @@
             fleet.check()
 
     stepped.run(play())
+
+
+def test_connections_that_come_up_late_bring_no_two_shares_together():
+    """A set-up waits for its connection: what two spans allow must not leave within one."""
+
+    async def play():
+        async with Fleet(24, 24, probes=False, every_s=0.03) as fleet:
+            for dispatcher in fleet.dispatchers:
+                connect = dispatcher.gateway.servers.connect
+
+                async def late(server, connect=connect):
+                    await asyncio.sleep(0.24)  # less than a dial may take
+                    return await connect(server)
+
+                dispatcher.gateway.servers.connect = late
+            fleet.boot()
+            for dispatcher in fleet.dispatchers:
+                dispatcher.told(fleet.cold)
+            await asyncio.sleep(1.5)
+            fleet.check()
+
+    stepped.run(play())
+
+
+def test_a_server_that_leaves_the_lists_and_comes_back_has_not_started_again():
+    """What a dispatcher sent it within the span still counts, though the dispatcher's lists lacked it."""
+
+    async def play():
+        async with Fleet(30, 30) as fleet:
+            fleet.boot()
+            for state in ("ready", "gone", "ready"):
+                for dispatcher in fleet.dispatchers:
+                    dispatcher.told(fleet.cold, state)
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(1.0)
+            fleet.check()
+
+    stepped.run(play())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -445,6 +445,28 @@
     assert len(of(driver.log, Offer)) == 2
 
 
+def test_a_cold_machine_that_leaves_the_list_and_comes_back_takes_no_more():
+    machine = Machine(1, born_us=99 * SECOND)
+    driver = Driver(make_settings(may_probe=False, cold_sends=2), [machine])
+    for n in range(1, 20):
+        driver.arrive(service=n)
+        for offer in of(driver.log[-2:], Offer):
+            driver.send(ended(offer.request, 1, Outcome.FULL))  # nothing of ours is held there
+        driver.send(MachinesChanged(ListForm.FULL, ()))
+        driver.send(MachinesChanged(ListForm.FULL, (machine,)))
+    assert len(of(driver.log, Offer)) == 2
+
+
+def test_a_smaller_share_of_a_cold_machine_holds_for_machines_known_before():
+    driver = Driver(make_settings(may_probe=False, cold_sends=8), [Machine(1, born_us=99 * SECOND)])
+    driver.policy.settle(make_settings(may_probe=False, cold_sends=8, group_size=8))
+    for n in range(1, 20):
+        driver.arrive(service=n)
+        for offer in of(driver.log[-2:], Offer):
+            driver.send(Placed(offer.request, 0, 1, 1000))
+    assert len(of(driver.log, Offer)) == 1
+
+
 def test_an_unsafe_request_that_may_have_run_fails_and_a_refused_one_is_drawn_again():
     driver = Driver(make_settings(classes=(make_class(effect=Effect.UNSAFE),)), machines(3))
     [offer] = driver.place()
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -81,9 +81,12 @@
             r.cls = settings.classes[r.kind]
         self._ranks.clear()
         self._early = EARLY_US + 2 * settings.tick_us
+        self._span = settings.fall_us + 2 * self._early  # offers of one turn may arrive that much apart
         self._cold_share, self._turns = int(settings.cold_sends / max(1, settings.group_size)), 1
         if not self._cold_share and settings.cold_sends >= 2:  # more allocators than offers: by turns
             self._cold_share, self._turns = 1, -(-settings.group_size // int(settings.cold_sends // 2))
+        for n in self._nodes.values():
+            n.keep_sends(max(1, self._cold_share))
         self._many = settings.group_size >= MANY
         # By how much a crowded machine is drawn later; with many allocators, before a cold start elsewhere.
         self._crowd = 16 if settings.by_service else 3 if self._many else 6
@@ -212,9 +215,8 @@
         Allocators that outnumber the told offers take turns, which all work out alike from its start. A
         window meets two turns: half the offers each. Harm: it could often take more than that.
         """
-        span = self._s.fall_us + 2 * self._early  # offers of one turn may arrive that much apart
-        turn = (self._now - n.entry.born_us) // span + n.entry.id
-        spent = len(n.sends) == n.sends.maxlen and self._now - n.sends[0] <= span
+        turn = (self._now - n.entry.born_us) // self._span + n.entry.id
+        spent = len(n.sends) == n.sends.maxlen and self._now - n.sends[0] <= self._span
         return (not spent and self._cold_share > 0 and len(n.offers) < COLD_OPEN
                 and turn % self._turns == self._s.me % self._turns)
 
@@ -230,7 +232,8 @@
                 and self._legal(r, n) and self._fits(r, n))
 
     def _blind(self) -> bool:  # where all machines are silent or leave, none is left out for that
-        return all(n.silent or self._now < n.leaving for n in self._nodes.values())
+        return all(n.silent or self._now < n.leaving or n.entry.state == MachineState.GONE
+                   for n in self._nodes.values())
 
     def _draw(self, r: Request, turn: int) -> None:
         """Draw from the lowest tier, looking at no more of the fleet, in random order, than that takes."""
@@ -276,21 +279,18 @@
         Guards the cost per request: only the first RANKED by rank are worked out once a list version, and
         the whole fleet is sorted only where too few of those are eligible.
         """
-        def rank(n: Node) -> int:
-            return _rank(r.service, n.entry.id)
-
         def eligible(ranked: list[Node]) -> list[Node]:
             return list(islice((n for n in ranked if self._eligible(r, n, False)), HOMES))
 
         listed, first = self._ranks.pop(r.service, (-1, []))
         if listed != self._listed:
-            first = heapq.nsmallest(RANKED, self._nodes.values(), key=rank)
+            first = heapq.nsmallest(RANKED, self._nodes.values(), key=lambda n: _rank(r.service, n.entry.id))
         self._ranks[r.service] = (self._listed, first)
         if len(self._ranks) > SERVICES:  # the least lately drawn service is forgotten
             del self._ranks[next(iter(self._ranks))]
         homes = eligible(first)
         if len(homes) < HOMES and len(first) < len(self._nodes):
-            homes = eligible(sorted(self._nodes.values(), key=rank))
+            homes = eligible(sorted(self._nodes.values(), key=lambda n: _rank(r.service, n.entry.id)))
         return homes
 
     def _choose(self, r: Request, turn: int) -> None:
@@ -405,8 +405,7 @@
             self._judge(r, n, e)
             r.open = None
             n.no_offer(r)
-            if e.outcome not in PROOF and r.maybe is None:
-                r.maybe = r.sent[e.attempt]
+            r.maybe = r.maybe or (None if e.outcome in PROOF else r.sent[e.attempt])
         self._held.end(r.service, n, ran=e.outcome not in PROOF)
         if e.outcome is Outcome.ERROR and n not in r.errors:
             r.errors.append(n)
@@ -542,7 +541,8 @@
             late = self._s.reports_asked and self._now - n.asked.heard <= STALE_US  # a report tells better
             if entry.free_cores is not None and not late:
                 n.asked.hear(self._now, LIST_LAG_US, entry.free_cores, entry.free_memory, n)
-        for n in [n for n in self._nodes.values() if not n.held and n.entry.state == MachineState.GONE]:
+        for n in [n for n in self._nodes.values() if not n.held and n.entry.state == MachineState.GONE
+                  and not (n.sends and self._now - n.sends[-1] <= self._span)]:  # it may be listed again
             self._held.forget(n)
             del self._nodes[n.entry.id]
             self._listed += 1
--- a/weldhatch/state.py
+++ b/weldhatch/state.py
@@ -56,6 +56,9 @@
         self.faults, self.fault_at = 0, NEVER  # errors and broken answers since the last task was placed
         self.refused = (0, 0.0, 0.0)  # until when, and from which cores and memory on
 
+    def keep_sends(self, count: int) -> None:
+        self.sends = deque(self.sends, maxlen=count)
+
     def offer(self, r: Request, now: int) -> None:
         self.sends.append(now)
         self.offers[r.id] = r.open
