Keep descriptors for the bus, clients and servers; count former lives at cold machines

Causes, found by tests/test_descriptors.py and tests/test_cold_servers.py: - Links to servers were never closed, and drew on the same budget as the event bus. With limits.sockets = 64 and 100 servers the first 40 shut out the rest: set-ups were refused, the bus found no descriptor, clients waited. Clients with tasks kept new ones out for 6 s (6.01 s measured).

Change: idle links give way, the least lately used first; two descriptors are the bus's; clients and servers have eight each that the other may not take, half where there are fewer; a listener that waits asks again each 0.2 s; clients with tasks give way after 1 s. A machine that started before its allocator takes nothing from it for one span.

--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -301,3 +301,21 @@
             fleet.check()
 
     stepped.run(play())
+
+
+def test_dispatchers_that_start_anew_do_not_send_their_share_twice():
+    """A dispatcher that was killed does not know what it sent in its former life."""
+
+    async def play():
+        async with Fleet(24, 24) as fleet:
+            fleet.boot()
+            for dispatcher in fleet.dispatchers:
+                dispatcher.told(fleet.cold)
+            await asyncio.sleep(0.4)
+            for dispatcher in fleet.dispatchers[: 24 * 7 // 10]:
+                dispatcher.abort()
+                await dispatcher.start()
+            await asyncio.sleep(1.5)
+            fleet.check()
+
+    stepped.run(play())
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,268 @@
+"""Descriptors that run short: discovery, servers and new clients still get theirs.
+
+The term: idle clients may fill the descriptors while discovery is down. Here they do, beside more servers
+than there are descriptors; what is judged is what a server, the event bus and a new client see.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+import time
+import unittest
+import unittest.mock
+
+from scenario import SETTINGS, Scenario, Server, parts_of, tag
+
+from weldhatch.platform import binary, owners
+
+TOLD_S = 4.0  # what the bus would have told counts as told so long after it broke off
+DEADLINE_MS = 3000  # how long the new client's owner waits for its answer
+NO_PROBES = {**SETTINGS, "limits": {**SETTINGS["limits"], "probes": False}}
+SLOWER = 3.0  # by so much a loaded machine may be slower than the pages' times
+
+
+class ManyServer(Server):
+    """A server that takes every set-up; its tasks are over at once unless they are to stand."""
+
+    stand = False
+
+    async def read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            (length,) = struct.unpack(">H", await reader.readexactly(2))
+            kind, name, parameters = parts_of(await reader.readexactly(length))
+            if kind == binary.TEST:
+                writer.write(binary.encode(binary.TESTED, name, {78: b"\1", 73: self.report.encode()}))
+            elif kind == binary.SET_UP:
+                self.used = True
+                writer.write(binary.encode(binary.ANSWER, name, {79: parameters[79]}))
+                if not self.stand:
+                    writer.write(binary.encode(binary.RELEASE, name, {78: bytes((16,))}))
+
+
+def line(name: str, verb: str, **fields: str) -> bytes:
+    message = {"verb": verb, "tag": tag(name).hex(), "opts": fields, "blob": "v=0"}
+    return json.dumps(message).encode() + b"\n"
+
+
+def set_up(name: str, service: int) -> bytes:
+    extras = f"cores:1;memory:2;service:{service}"
+    return line(name, "START", **{"class": "safe", "left": str(DEADLINE_MS), "key": "7", "extras": extras})
+
+
+class Short(Scenario):
+    """Few descriptors, and a fleet larger than them."""
+
+    servers = 100
+    sockets = 64
+    server_class = ManyServer
+    settings = NO_PROBES
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.idle: list[socket.socket] = []
+        self.asked = 0
+
+    async def asyncTearDown(self) -> None:
+        for one in self.idle:
+            one.close()
+        await super().asyncTearDown()
+
+    async def fill(self, says: str, count: int = 0) -> None:
+        """Clients open more connections than there are descriptors, say that on each, and stay."""
+        for n in range(count or 2 * self.sockets):
+            one = socket.create_connection(self.gateway.listener.address)
+            self.idle.append(one)
+            match says:
+                case "a test":
+                    one.sendall(line(f"i{n}", "ECHO"))
+                case "half a message":
+                    one.sendall(line(f"i{n}", "ECHO")[:20])
+                case "a set-up":
+                    one.sendall(set_up(f"i{n}", 1000 + n))
+            if n % 16 == 0:
+                await asyncio.sleep(0)
+        share = self.gateway.owners._share
+        budget = self.gateway.budget
+        await self.until(
+            lambda: share.held >= share.most or budget.held >= budget.most, "the descriptors are used up"
+        )
+
+    async def answered(self, count: int) -> float:
+        """Set-ups of a new client, one after the other, each answered; the longest time that one took."""
+        longest = 0.0
+        for _ in range(count):
+            self.asked += 1
+            name = f"n{self.asked}"
+            began = time.monotonic()
+            extras = f"cores:1;memory:2;service:{self.asked}"  # each service has its own homes
+            await self.play(f"new send START {name} left={DEADLINE_MS} extras={extras}")
+            await self.play(f"new expect STARTED {name}")
+            longest = max(longest, time.monotonic() - began)
+            if not self.server_class.stand:
+                await self.play(f"new expect FINISH {name} cause=16")
+        return longest
+
+    async def discovery(self, up: bool) -> None:
+        """The event bus refuses connections, or listens again at its address."""
+        if up:
+            self.bus.connected.clear()
+            await self.bus.listen(self.bus.endpoint)
+        else:
+            self.bus.server.close()
+            self.bus.reset()
+            await self.until(lambda: any("no connection" in text for text in self.logged), "the bus is down")
+
+    async def comes_back(self) -> None:
+        """Discovery is back: its news, a server that only it knows and a new client get through."""
+        self.bus.add([self.target(f"s{n}", "gone") for n in range(1, self.servers)], tell=False)
+        self.parties["late"] = late = self.server_class()
+        await late.listen()
+        self.bus.add([self.target("late")], tell=False)
+        began = time.monotonic()
+        await self.discovery(True)
+        await self.until(lambda: self.gateway.fleet.offset == len(self.bus.events), "the events were taken")
+        self.assertLess(time.monotonic() - began, TOLD_S + SLOWER, "discovery")
+        self.parties.pop("new", None)
+        self.assertLess(await self.answered(1), DEADLINE_MS / 1000)
+        for _ in range(40):
+            if late.used:
+                break
+            await self.answered(1)
+        self.assertTrue(late.used, "a server that needs a connection got one")
+        self.assertLessEqual(self.gateway.budget.held, self.gateway.budget.most)
+
+
+class MoreServersThanDescriptors(Short):
+    async def test_every_server_is_reached_though_all_can_not_be_connected_at_once(self) -> None:
+        """Guards against links that stay open when idle: the first servers would shut the others out."""
+        machines = [self.parties[f"s{n}"] for n in range(1, self.servers + 1)]
+        end = time.monotonic() + 30.0
+        while not all(server.used for server in machines) and time.monotonic() < end:
+            await self.answered(1)
+        unused = sum(not server.used for server in machines)
+        self.assertEqual(0, unused, "servers that were never reached")
+        self.assertFalse([text for text in self.logged if "is silent" in text])
+        self.assertLessEqual(self.gateway.budget.held, self.gateway.budget.most)
+
+    async def test_discovery_servers_and_a_new_client_get_theirs_beside_idle_clients(self) -> None:
+        for says in ("nothing", "a test", "half a message", "a set-up"):
+            with self.subTest(says):
+                await self.discovery(False)
+                await self.answered(60)
+                with (
+                    unittest.mock.patch.object(owners, "WHOLE_S", 1000.0),
+                    unittest.mock.patch.object(owners, "IDLE_S", 1000.0),
+                ):
+                    await self.fill(says)
+                    await self.comes_back()
+            await self.asyncTearDown()
+            await self.asyncSetUp()
+
+    async def test_the_bus_has_a_descriptor_of_its_own(self) -> None:
+        await self.discovery(False)
+        while self.gateway.budget.take():
+            pass
+        self.bus.add([self.target("s1", "draining")], tell=False)
+        await self.discovery(True)
+        await self.until(lambda: self.gateway.fleet.offset == 2, "the event was taken")
+
+    async def test_servers_that_idle_give_way_to_a_client_where_no_client_can(self) -> None:
+        await self.answered(60)
+        while self.gateway.budget.take():
+            pass
+        with (
+            unittest.mock.patch.object(self.gateway.owners, "make_room"),
+            unittest.mock.patch.object(owners, "IDLE_S", 1000.0),
+        ):
+            await self.play("late send ECHO t0 cause=0\nlate expect ECHOED t0")
+
+
+class StandingServer(ManyServer):
+    stand = True
+
+
+class AllStand(Short):
+    """Every client's connection, and every server's, carries tasks that stand."""
+
+    servers = 20  # fewer than descriptors: a link with a task that stands is never closed for another
+    server_class = StandingServer
+
+    async def test_discovery_and_a_new_client_get_theirs_where_every_connection_has_a_task(self) -> None:
+        await self.discovery(False)
+        await self.answered(40)
+        await self.fill("a set-up", self.gateway.owners._share.most)
+        await self.comes_back()
+
+
+class TooManyStand(Short):
+    """Tasks stand on more servers than there are descriptors for."""
+
+    server_class = StandingServer
+
+    async def test_discovery_and_a_new_client_are_heard_and_no_task_is_told_as_lost(self) -> None:
+        await self.discovery(False)
+        refused = n = 0
+        while not refused:
+            n += 1
+            extras = f"cores:1;memory:2;service:{n}"
+            await self.play(f"first send START f{n} left={DEADLINE_MS} extras={extras}")
+            verb, *_ = await asyncio.wait_for(self.parties["first"].heard.get(), 20.0)
+            refused += verb == "FINISH"
+        await self.fill("a set-up", self.gateway.owners._share.most)
+        self.bus.add([self.target("s1", "draining")], tell=False)
+        began = time.monotonic()
+        await self.discovery(True)
+        await self.until(lambda: self.gateway.fleet.offset == 2, "the event was taken")
+        self.assertLess(time.monotonic() - began, TOLD_S + SLOWER)
+        began = time.monotonic()
+        await self.play("new send ECHO t0 cause=0\nnew expect ECHOED t0")
+        self.assertLess(time.monotonic() - began, DEADLINE_MS / 1000)
+        self.assertFalse([text for text in self.logged if "are lost" in text])
+        self.assertLessEqual(self.gateway.budget.held, self.gateway.budget.most)
+
+
+class NoneLeft(Scenario):
+    """Where no descriptor is left for a server, that tells nothing of the server."""
+
+    async def test_a_server_that_finds_no_descriptor_has_not_vanished(self) -> None:
+        """Guards tasks that stand against being told as lost because descriptors ran short."""
+        await self.play("""
+            owner send START a1
+            s1 expect SET_UP a1
+            s1 send ANSWER a1
+            owner expect STARTED a1
+        """)
+        share = self.gateway.servers._share
+        self.gateway.servers._share = unittest.mock.Mock(
+            wraps=share, take=unittest.mock.Mock(return_value=False)
+        )
+        [link] = self.gateway.servers._links.values()
+        await self.play("s1 close")
+        taken = self.gateway.servers._share.take
+        await self.until(lambda: taken.call_count > 4, "it was tried again")
+        self.assertTrue(link.standing, self.logged)
+        self.gateway.servers._share = share
+        await self.until(lambda: self.parties["s1"].writers, "connected anew")
+        await self.play("s1 send RELEASE a1 cause=16\nowner expect FINISH a1 cause=16")
+
+
+class Fewest(Scenario):
+    """The fewest descriptors that the configuration allows."""
+
+    sockets = 32
+
+    async def test_a_client_is_served_with_the_fewest_descriptors_that_may_be_set(self) -> None:
+        await self.play("""
+            owner send START a1
+            s1 expect SET_UP a1
+            s1 send ANSWER a1
+            owner expect STARTED a1
+        """)
+        await self.until(lambda: self.bus.writers, "the bus is read")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/weldhatch/net/budget.py
+++ b/weldhatch/net/budget.py
@@ -14,26 +14,20 @@
 class Budget:
     """How many sockets may be open at once. A listener that found none left is woken by the next return."""
 
-    def __init__(self, descriptors: int) -> None:
-        self.most = max(8, descriptors - RESERVED)
+    def __init__(self, descriptors: int, kept: int = 0) -> None:
+        """`kept`: sockets of the process that don't come from here."""
+        self.most = max(8, descriptors - RESERVED) - kept
         self.held = 0
-        self._reserved = 0  # free slots that only the share which reserved them may take
         self._waiting: list[Callable[[], None]] = []
 
-    def reserve(self, slots: int) -> None:
-        self._reserved += slots
-
-    def take(self, reserved: bool = False) -> bool:
-        if reserved:
-            self._reserved -= 1
-        elif self.held + self._reserved >= self.most:
+    def take(self) -> bool:
+        if self.held >= self.most:
             return False
         self.held += 1
         return True
 
-    def give_back(self, reserved: bool = False) -> None:
+    def give_back(self) -> None:
         self.held -= 1
-        self._reserved += reserved
         waiting, self._waiting = self._waiting, []
         for wake in waiting:
             wake()
@@ -43,26 +37,26 @@
 
 
 class Share:
-    """A part of the budget: what one group of sockets may hold of it.
+    """A part of the budget: what one group of sockets may hold of it."""
 
-    `reserved`: slots that are kept for this group, however many sockets the others ask for.
-    """
-
-    def __init__(self, budget: Budget, most: int, reserved: int = 0) -> None:
+    def __init__(self, budget: Budget, most: int) -> None:
         self._budget, self.most, self.held = budget, most, 0
-        self._reserved = reserved
         self._waiting: list[Callable[[], None]] = []
-        budget.reserve(reserved)
+
+    @property
+    def spent(self) -> bool:
+        """Whether all of this part is held; what it lacks otherwise, others hold."""
+        return self.held >= self.most
 
     def take(self) -> bool:
-        if self.held >= self.most or not self._budget.take(reserved=self.held < self._reserved):
+        if self.held >= self.most or not self._budget.take():
             return False
         self.held += 1
         return True
 
     def give_back(self) -> None:
         self.held -= 1
-        self._budget.give_back(reserved=self.held < self._reserved)
+        self._budget.give_back()
         waiting, self._waiting = self._waiting, []
         for wake in waiting:
             wake()
--- a/weldhatch/net/listener.py
+++ b/weldhatch/net/listener.py
@@ -11,6 +11,7 @@
 from weldhatch.net.budget import Share
 
 BACKLOG = 512
+AGAIN_S = 0.2  # a listener that still waits for a slot asks for one again after this long
 TURN = 16  # connections accepted in one turn of the loop: those that are open are served in between
 
 
@@ -31,10 +32,11 @@
         self._socket.bind(address)
         self._socket.listen(BACKLOG)
         self.address: tuple[str, int] = self._socket.getsockname()
-        self._open = True
+        self._open, self._paused = True, False
         self._resume()
 
     def _resume(self) -> None:
+        self._paused = False
         if self._open:
             asyncio.get_running_loop().add_reader(self._socket.fileno(), self._ready)
 
@@ -60,8 +62,15 @@
     def _pause(self) -> None:
         """No slot is left: go on once one is free, and say so to whoever can free one."""
         asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        self._paused = True
         self._share.when_free(self._resume)
-        self._full()
+        self._ask()
+
+    def _ask(self) -> None:
+        """Guards against a wait without an end: what may not be closed yet may be a moment later."""
+        if self._paused and self._open:
+            self._full()
+            asyncio.get_running_loop().call_later(AGAIN_S, self._ask)
 
     def finish(self) -> None:
         """Take what the system has accepted already, as far as there are slots, and listen no more.
--- a/weldhatch/platform/owners.py
+++ b/weldhatch/platform/owners.py
@@ -24,6 +24,7 @@
 REFUSED, FAILED = 42, 47  # the causes of the two final answers that are not 'placed'
 ENDING_WAIT_US = 1_000_000  # when to come back, for what reaches a dispatcher that ends
 IDLE_S = 6.0  # owners close what idles for 4 s; past this we do it
+STANDING_IDLE_S = 1.0  # past this, one with tasks that stand gives way too: they belong to no connection
 WHOLE_S = 2.0  # a connection that has brought no whole message by then is closed
 FIRST_S = 2.8  # and one whose first message began in time is closed by then
 PIECES_S = 0.5  # a message that began so lately is waited for, also where descriptors run short
@@ -111,7 +112,7 @@
         if self.open or idle < SWEEP_S:
             return None
         if self.standing:
-            return (4, self.used) if idle > IDLE_S else None
+            return (4, self.used) if idle > STANDING_IDLE_S else None
         return (3 if self.asked else 2), self.used
 
     def _handle(self, line: jsonl.Line) -> None:
--- a/weldhatch/platform/server_link.py
+++ b/weldhatch/platform/server_link.py
@@ -25,6 +25,7 @@
 RECONNECT_S = 0.02  # after a connection that ended
 REDIAL_S = 0.1  # between two connects that fail
 EXCUSES_MOST = 4  # connects that do come up while the old connection stays silent: it is given up
+IN_USE_S = 0.05  # a connection that was in use so lately is not closed for another
 LATE_ANSWER_S = 5.0  # so long after it was given up, a set-up may still be answered
 OUTCOMES_BEFORE_ANSWER = {  # of a release by its cause; any other cause is a reset
     34: interface.Outcome.FULL,
@@ -95,9 +96,12 @@
         self._spare: Connection | None = None  # the second connection that a trial has made
         self._reading: asyncio.Task | None = None
         self._excuses = 0
+        self.used = time.monotonic()  # when something last went out
+        self._makes_room = False  # the connection is closed for another: that tells nothing of the server
         self.replaced = False  # another server has the address: nothing goes there under this uid
 
     def send(self, name: object, data: bytes) -> None:
+        self.used = time.monotonic()
         if self.connected:
             if not self._asked or self._up.heard > self._asked:
                 self._asked = time.monotonic()
@@ -137,14 +141,26 @@
         return self._up is not None and not self._up.closed
 
     @property
-    def idle(self) -> bool:
-        """Whether nothing is out, stands or waits there, so that its connection may be closed."""
+    def _settled(self) -> bool:
+        """Whether nothing is out, stands or waits there."""
         return not (self.out or self.standing or self.probes or self._pending)
 
-    @property
-    def heard(self) -> float:
-        """When the machine last said something on the connection that is up; 0 without one."""
-        return self._up.heard if self.connected else 0.0
+    def idle(self, now: float) -> bool:
+        """Whether the connection can be closed without harm: nothing is open on it or was just said."""
+        return (
+            self.connected
+            and self._settled
+            and self._trial is None
+            and not self._up.unsent
+            and now - max(self.used, self._up.heard) > IN_USE_S
+        )
+
+    def make_room(self) -> None:
+        """Close the connection for another that needs its descriptor."""
+        self._makes_room = True
+        if self._spare is not None:
+            self._spare.close()
+        self._up.close()
 
     def unsent(self, name: object) -> bool:
         """Take back what still waits for the connection; whether it did."""
@@ -253,7 +269,9 @@
     def _broken(self) -> None:
         """The connection ended: what was out on it may have run."""
         self._up = None
-        self._servers.broke(self.server.machine)
+        if not self._makes_room:
+            self._servers.broke(self.server.machine)
+        self._makes_room = False
         self._end_open(interface.Outcome.RESET)
 
     def _end_open(self, outcome: interface.Outcome, probed: interface.Outcome | None = None) -> None:
@@ -280,7 +298,7 @@
     @property
     def over(self) -> bool:
         """Whether the machine is gone and nothing is left to hear of it."""
-        return self.server.state == interface.MachineState.GONE and self.idle
+        return self.server.state == interface.MachineState.GONE and self._settled
 
     def lose(self, why: str, before: float = float("inf")) -> None:
         """The tasks that stood there are cut: those that stood before that moment."""
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 # owners must have heard.
 LEAVING_QUIET_S = 2.0
 UNCLAIMED_MOST, UNCLAIMED_S = 4096, 10.0  # releases of tasks that no owner has named yet, and how long
+ROOM_MOST = 4  # idle links closed at a time where clients want descriptors
 UNLISTED_S = 6.0  # a task on a machine that is not listed by then is lost; its owner must hear within 8 s
 
 
@@ -95,20 +97,20 @@
                 link.replace()
 
     async def connect(self, server: Server) -> Connection:
-        if not self._share.take() and not (self._close_one_idle() and self._share.take()):
+        if not self._share.take() and not (self.make_room(1) and self._share.take()):
             raise NoDescriptor("no descriptor is left")
         return await connect(server.endpoint, self._dial_s, self._share, f"server {server.uid}", self.log)
 
-    def _close_one_idle(self) -> bool:
-        """Close the idle connection that has been quiet for longest; whether there was one.
+    def make_room(self, most: int = ROOM_MOST) -> int:
+        """Close idle links, the least lately used first; how many.
 
-        Guards against a fleet larger than the descriptors: servers would keep them for as long as they like.
+        Guards against a fleet larger than the budget: the servers asked first would shut out all others.
         """
-        idle = [link for link in self._links.values() if link.connected and link.idle]
-        if not idle:
-            return False
-        min(idle, key=lambda link: link.heard).close()
-        return True
+        now = time.monotonic()
+        idle = [link for link in self._links.values() if link.idle(now)]
+        for link in heapq.nsmallest(most, idle, key=lambda link: link.used):
+            link.make_room()
+        return min(most, len(idle))
 
     async def _watch(self) -> None:
         last = time.monotonic()
--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -59,7 +59,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self._random = random.Random(seed)
-        self._now, self._out, self._failures = 0, [], 0
+        self._now, self._out, self._failures, self._began = 0, [], 0, 0
         self._nodes: dict[int, Node] = {}
         self._requests: dict[int, Request] = {}
         self._held = Holdings(KEPT)
@@ -97,6 +97,7 @@
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one instant; return the actions to carry out at once, in order."""
         self._now, self._out = max(now, self._now), []  # a clock that goes backwards stands still
+        self._began = self._began or self._now
         for event in events:
             self._on[type(event)](event)
         return self._out
@@ -217,7 +218,8 @@
         """
         turn = (self._now - n.entry.born_us) // self._span + n.entry.id
         spent = len(n.sends) == n.sends.maxlen and self._now - n.sends[0] <= self._span
-        return (not spent and self._cold_share > 0 and len(n.offers) < COLD_OPEN
+        former = n.entry.born_us < self._began and self._now - self._began <= self._span  # that life sent
+        return (not spent and not former and self._cold_share > 0 and len(n.offers) < COLD_OPEN
                 and turn % self._turns == self._s.me % self._turns)
 
     def _may_repeat(self, r: Request, entry: Machine) -> bool:
@@ -259,19 +261,17 @@
         r.hoped = max((self._tier(r, n) for n in drawn), default=0)
         if not drawn:
             self._blocked(r)
-        elif not self._s.may_probe or not self._s.report_fields:
-            self._choose(r, r.turn)
+            return
+        probed = self._s.may_probe and self._s.report_fields
+        unheard = [n for n in drawn if probed and not self._heard(r, n)]
+        r.waiting = {n.entry.id for n in unheard}
+        for n in unheard:
+            n.waiters[r.id] = None
+            self._probe(n)
+        if unheard:
+            self._after(PATIENCE * r.cls.aim_us, self._choose, r, r.turn)
         else:
-            unheard = [n for n in drawn if not self._heard(r, n)]
-            r.waiting = {n.entry.id for n in unheard}
-            for n in unheard:
-                n.waiters[r.id] = None
-                if not n.probes:  # one probe serves all that wait for it
-                    self._probe(n)
-            if unheard:
-                self._after(PATIENCE * r.cls.aim_us, self._choose, r, r.turn)
-            else:
-                self._choose(r, r.turn)
+            self._choose(r, r.turn)
 
     def _homes(self, r: Request) -> list[Node]:
         """The first HOMES eligible machines in the service's rendezvous order, as a full sort would give.
@@ -474,13 +474,13 @@
 
     def _overdue(self, n: Node, request: int, attempt: int) -> None:
         if n.offers.get(request) == attempt:
-            if not n.probes:
-                self._probe(n)
+            self._probe(n)
             self._after(OVERDUE_US, self._overdue, n, request, attempt)
 
     def _probe(self, n: Node) -> None:
-        n.probes += 1
-        self._out.append(Probe(n.entry.id))
+        if not n.probes:  # one probe serves all that wait for it
+            n.probes += 1
+            self._out.append(Probe(n.entry.id))
 
     def _probed(self, e: ProbeAnswered) -> None:
         n = self._nodes.get(e.machine)
--- a/weldhatch/serving.py
+++ b/weldhatch/serving.py
@@ -20,7 +20,7 @@
 from weldhatch.core.driver import Driver
 from weldhatch.core.life import Core
 from weldhatch.core.ports import Rules
-from weldhatch.net.budget import Budget, Share
+from weldhatch.net.budget import RESERVED, Budget, Share
 from weldhatch.net.listener import Listener
 from weldhatch.platform.bus import Bus
 from weldhatch.platform.fleet import Fleet
@@ -38,7 +38,8 @@
 FLUSH_S = 0.5
 DEADLINE_MOST_S = 3.0  # SIGKILL comes LISTEN_ON_S after the longest deadline, counted as this where longer
 SPARE_S = 0.25  # a planned end is over so long before that
-BUS_SLOTS = 2  # one connection to the event bus, and the next while the old one ends
+BUS_SLOTS = 2  # descriptors that nothing but the event bus may take: a connection, and the next one
+LEAST_SLOTS = 8  # connections that clients have at least, and servers: the others may not take these
 ANSWER_S = 0.2  # a plan that asks for a restart is answered before it
 
 
@@ -69,15 +70,17 @@
         self.roll, self._alone = roll, alone
         settings = self.settings = told.settings
         self._started, self._log = told, log
-        budget = self.budget = Budget(told.sockets)
+        budget = self.budget = Budget(told.sockets, BUS_SLOTS)
+        least = min(LEAST_SLOTS, budget.most // 2)
         self.driver = Driver(Policy(settings, told.seed), log)
         self.servers = Servers(
-            settings, Share(budget, budget.most), told.dial_s, told.probe_s, self._reported, log
+            settings, Share(budget, budget.most - least), told.dial_s, told.probe_s, self._reported, log
         )
         self.fleet = Fleet(settings, self.servers.changed, log)
-        self.bus = Bus(
-            told.bus, Share(budget, BUS_SLOTS, reserved=1), lambda: self.fleet.offset, self._told, log
-        )
+        # Guards against a list that nobody brings up to date: whatever clients and servers hold, the bus has
+        # its own.
+        discovery = Share(Budget(RESERVED + LEAST_SLOTS), BUS_SLOTS)
+        self.bus = Bus(told.bus, discovery, lambda: self.fleet.offset, self._told, log)
         self.driver.site, self.driver.directory = self.servers, self.bus
         self.core = Core(self.driver, self.servers, log)
         for event in told.known:
@@ -87,13 +90,18 @@
         self.bus.subscribe(True)
         # Owners keep at most a third of the descriptors and others may come on top; whatever they do, a
         # third is left for the servers.
-        share = Share(budget, min(told.sockets * 2 // 3, budget.most - 8))
+        share = self._clients = Share(budget, min(told.sockets * 2 // 3, budget.most - least))
         self.owners = Owners(settings, self.core, share, log)
-        self.listener = Listener(told.listen, share, self.owners.taken, self.owners.make_room)
+        self.listener = Listener(told.listen, share, self.owners.taken, self._make_room)
         if alone is not None:
             self.core.rules = alone
             alone.begin(settings, self.driver, told.seed)
 
+    def _make_room(self) -> None:
+        """A client waits for a descriptor: where clients hold less than their part, servers give one back."""
+        if self._clients.spent or not self.servers.make_room():
+            self.owners.make_room()
+
     def _reported(self, machine: int, report: tuple[float, ...]) -> None:
         self.driver.post(i.ProbeAnswered(machine, i.Outcome.OK, 0, report))
 
