--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -22,7 +22,7 @@
 # A server that drains or is gone is tested sooner. Its tasks may end without a word some seconds before its
 # process does, and a test that is answered in between shows nothing: little is left of the 8 s until their
 # owners must have heard.
-LEAVING_QUIET_S = 2.0
+LEAVING_QUIET_S = 2.5
 UNCLAIMED_MOST, UNCLAIMED_S = 4096, 10.0  # releases of tasks that no owner has named yet, and how long
 ROOM_MOST = 4  # idle links closed at a time where clients want descriptors
 UNLISTED_S = 6.0  # a task on a machine that is not listed by then is lost; its owner must hear within 8 s
