--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -331,6 +331,13 @@
         )
         self.assertEqual(2, self.gateway.fleet.offset, [text[:200] for text in self.logged])
 
+    async def test_an_event_that_tells_of_one_server_twice_is_taken(self):
+        await self.until(lambda: self.bus.writers, "the bus is read")
+        gone = self.target("s1", "gone")
+        self.bus.add([gone, gone])
+        nodes = self.gateway.driver._policy._nodes
+        await self.until(lambda: not nodes, "the module heard that the server has gone")
+
     async def test_a_move_of_the_bus_during_a_dial_leaves_one_connection_and_no_slot_behind(self):
         await self.until(lambda: self.bus.writers, "the bus is read")
         share, new = self.gateway.bus._share, Bus()
@@ -488,6 +495,23 @@
         self.assertTrue(silent.heard.empty())
 
 
+class TakenBack(Races):
+    async def test_set_ups_taken_back_now_and_then_do_not_end_their_connection(self):
+        """Only many at a time do: a connection that lives for long takes some back in its whole life."""
+        with unittest.mock.patch.object(owners, "TAKEN_BACK_SPAN_S", 0.0):  # each is long after the last
+            for n in range(2 * owners.BACK_MOST):
+                await self.play(f"owner send START b{n}\nowner send FINISH b{n} cause=16")
+            await self.play("owner send START a1\nowner send ECHO t0\nowner expect ECHOED t0")
+            self.assertFalse([text for text in self.logged if "takes back" in text], self.logged)
+
+    async def test_a_refusal_that_crosses_the_end_of_its_owners_interest_is_not_sent(self):
+        await self.play("owner send START a1\ns1 expect SET_UP a1")
+        [asked] = self.gateway.owners._asked.values()
+        asked.given_up()
+        asked.refused(0)
+        await self.play("owner send ECHO t0\nowner expect ECHOED t0")
+
+
 class PlannedEnd(Races):
     async def test_connections_that_wait_to_be_accepted_when_listening_ends_are_answered(self):
         """More than the listener accepts in one turn, each with a request written before listening ends."""
