--- a/weldhatch/policy.py
+++ b/weldhatch/policy.py
@@ -9,6 +9,7 @@
 
 import heapq
 import random
+from dataclasses import replace
 from itertools import islice
 
 from weldhatch.interface import (
@@ -483,8 +484,7 @@
             self._out.append(Probe(n.entry.id))
 
     def _probed(self, e: ProbeAnswered) -> None:
-        n = self._nodes.get(e.machine)
-        if n is None:
+        if (n := self._nodes.get(e.machine)) is None:
             return
         n.probes = max(0, n.probes - 1)
         if e.outcome is Outcome.OK:
@@ -528,7 +528,7 @@
         if e.form is not ListForm.DELTA:
             for machine, n in self._nodes.items():
                 if machine not in named:
-                    n.entry = Machine(machine, n.entry.zone, n.entry.kind, n.entry.cell, MachineState.GONE)
+                    n.entry = replace(n.entry, state=MachineState.GONE)
         for entry in e.machines:
             n = self._nodes.get(entry.id) or self._new_node(entry)
             if entry.born_us != n.entry.born_us:
@@ -542,7 +542,7 @@
             if entry.free_cores is not None and not late:
                 n.asked.hear(self._now, LIST_LAG_US, entry.free_cores, entry.free_memory, n)
         for n in [n for n in self._nodes.values() if not n.held and n.entry.state == MachineState.GONE
-                  and not (n.sends and self._now - n.sends[-1] <= self._span)]:  # it may be listed again
+                  and self._now >= n.entry.born_us + self._s.cold_us]:  # a cold one may be listed again
             self._held.forget(n)
             del self._nodes[n.entry.id]
             self._listed += 1
