--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases: the platform that starts a gateway, submitters, build machines and a proxy.
+"""Stand-ins for the cases: the platform that starts a gateway, submitters and build machines.
 
 They follow docs/pullqueue.md and use the standard library only. Everything that they send, hear and run is
 kept in one record, in the order of the real clock.
@@ -10,7 +10,6 @@
 import http.client
 import json
 import os
-import random
 import shutil
 import signal
 import socket
@@ -174,14 +173,14 @@
     def __init__(self, id: str, payload: dict[str, Any], expires: float) -> None:
         """Begin as running."""
         self.id, self.payload, self.expires = id, payload, expires
-        self.state, self.code = "ACTIVE", 0
+        self.state = "ACTIVE"
         self.ends_at: float | None = None
 
     def report(self) -> dict[str, Any]:
         """Return the entry of an update."""
         entry: dict[str, Any] = {"id": self.id, "state": self.state}
         if self.state == "COMPLETED":
-            entry["status"] = {"code": self.code}
+            entry["status"] = {"code": 0}
         return entry
 
 
@@ -212,12 +211,11 @@
         cores: float = 16,
         memory: float = 64,
         poll_s: float = 1.0,
-        pause_s: float = 0.0,
         plan: Callable[[Machine, Held], None] | None = None,
     ) -> None:
-        """`pause_s`: between two updates. `plan` says with `ends_at` and `code` how a new lease will end."""
+        """`poll_s`: how long an update waits. `plan` says with `ends_at` when the task of a new lease ends."""
         super().__init__(daemon=True, name=name)
-        self.record, self.port, self.poll_s, self.pause_s, self.plan = record, port, poll_s, pause_s, plan
+        self.record, self.port, self.poll_s, self.plan = record, port, poll_s, plan
         self.properties = {"cores": str(cores), "memory": str(memory), "hall": hall, "rack": rack}
         self.hall = hall
         self.runs: list[Run] = []
@@ -277,8 +275,7 @@
         for run in self.runs:
             if run.lease == held.id:
                 run.ended = self.record.now()
-        code = f" code {held.code}" if state == "COMPLETED" else ""
-        self.record.line(f"{self.name}: ENDS key {held.payload['key']} lease {held.id}: {why}{code}")
+        self.record.line(f"{self.name}: ENDS key {held.payload['key']} lease {held.id}: {why}")
 
     def _settle(self) -> None:
         """Stop what has run out, and end what is done."""
@@ -298,55 +295,9 @@
                 self.record.line(f"{self.name}: no answer to an update: {fault!r}")
                 self._settle()
                 self.over.wait(0.1)
-            if self.pause_s:
-                self.over.wait(self.pause_s * random.uniform(0.9, 1.1))
             self._settle()
 
 
-class Proxy:
-    """A relay on loopback between clients and a gateway. `cut` makes it forward nothing any more."""
-
-    def __init__(self, target: int) -> None:
-        """Listen on a free port."""
-        self.target, self.cut = target, False
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self._listener.getsockname()[1]
-        self._sockets: list[socket.socket] = [self._listener]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                client, _ = self._listener.accept()
-                self._sockets.append(client)
-                if self.cut:
-                    continue  # it stays open, and nothing is heard on it
-                try:
-                    server = socket.create_connection(("127.0.0.1", self.target), 2.0)
-                except OSError:
-                    client.close()
-                    continue
-                self._sockets.append(server)
-                for source, sink in ((client, server), (server, client)):
-                    threading.Thread(target=self._relay, args=(source, sink), daemon=True).start()
-
-    def _relay(self, source: socket.socket, sink: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                if self.cut:
-                    return
-                sink.sendall(data)
-        if not self.cut:
-            for end in (source, sink):
-                with contextlib.suppress(OSError):
-                    end.shutdown(socket.SHUT_RDWR)
-
-    def close(self) -> None:
-        """Close all sockets."""
-        for end in self._sockets:
-            end.close()
-
-
 def submission(
     class_name: str, key: str, request: str, *, left_ms: int = 4000, service: int = 0xB4D65521, **more: Any
 ) -> dict[str, Any]:
