Keep a submission going when its connection ends during its write

One of 60 operations, sent again under its request id after its connection was lost, stays ASKED without an answer, and its key is refused with 409 until the next start. Cause: the handler of the call waited for the disk between entering the submission and asking for it. The end of the connection cancels the handler at that await, and nobody asked for the submission or took it back. Change: the write and what follows run in a task of their own, shielded from the connection. A submission that is cancelled while it is written is not asked for any more, and one that the disk does not take by its deadline is refused.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -1,14 +1,18 @@
 """The pull queue after a kill between two writes of its store: nothing done is forgotten or repeated."""
 
 import json
+import threading
+import time
 from typing import ClassVar
 
+from scenario import EVENT_TIMEOUT_S
 from test_pullqueue import bot, lease, task
 from test_recovery import StoredQueueScenario
 
 from weldhatch.pullqueue import durable_state
 from weldhatch.store.log import MAGIC, encode_record, read_records
 
+ANSWER_SLACK_S = 0.5  # how long after its deadline an answer may come on a busy machine
 POLL_S = 0.3  # how long a machine waits for a lease that must not come
 
 
@@ -174,6 +178,94 @@
         self.assertEqual(state.operations, again.operations)
 
 
+class AbandonedWrites(KilledBetweenWrites):
+    """A submitter disconnects while its submission is written."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.disk_goes_on = threading.Event()
+        log = self.gateway.storage._store._log
+        append = log.append
+
+        def append_later(records):
+            self.disk_goes_on.wait(EVENT_TIMEOUT_S)
+            append(records)
+
+        log.append = append_later
+
+    async def asyncTearDown(self):
+        self.disk_goes_on.set()
+        await super().asyncTearDown()
+
+    async def lose(self, submitter):
+        """Close the connection of a submitter once its submission is being written."""
+        await self.until(lambda: self.gateway.tasks.known, "the submission is being written")
+        await self.play(f"{submitter} close")
+        await self.until(lambda: not self.gateway._links, "the submitter has disconnected")
+
+    async def check_placed_later(self, path, body):
+        await self.play(f"c1 send POST {path} | {body}")
+        await self.lose("c1")
+        self.disk_goes_on.set()
+        await self.play(f"""
+            p1 send POST botSessions | {bot("b1")}
+            p1 expect 200
+            p1 send PATCH $session X-Server-Timeout=9 | {{}}
+            c2 send POST operations | {task("unsafe", requestId="r-1")}
+            c2 expect 200
+            p1 expect 200 leases.0.state=PENDING leases.0.payload.key=a1
+            p1 send PATCH $session | {lease("ACTIVE")}
+            p1 expect 200
+            c2 send POST tasks | {task("unsafe", requestId="r-1")}
+            c2 expect 200 answer=placed botId=b1
+        """)
+
+    async def test_a_task_is_placed_although_its_submitter_disconnects_while_it_is_written(self):
+        """Guards against review case 3: such a submission was never asked for and had no answer."""
+        await self.check_placed_later("tasks", task("unsafe", requestId="r-1"))
+
+    async def test_an_operation_is_placed_although_its_submitter_disconnects_while_it_is_written(self):
+        """Guards against review case 3 at `POST operations`."""
+        await self.check_placed_later("operations", task("unsafe", requestId="r-1"))
+
+    async def test_an_operation_of_a_batch_is_placed_although_its_submitter_disconnects(self):
+        """Guards against review case 3 at `POST operations:batchSubmit`."""
+        batch = json.dumps({"requests": [json.loads(task("unsafe", requestId="r-1"))]})
+        await self.check_placed_later("operations:batchSubmit", batch)
+
+    async def test_an_operation_that_nobody_can_fetch_is_given_up(self):
+        """Guards against a task that starts after its submitter left without its name and a request id."""
+        await self.play(f"c1 send POST operations | {task('unsafe')}")
+        await self.lose("c1")
+        self.disk_goes_on.set()
+        await self.expect_nothing_for("p1", "b1")
+        [submission] = self.gateway.tasks.known.values()
+        self.assertEqual("CANCELLED", submission.state)
+        await self.play(f"c2 send POST operations | {task('unsafe')}\nc2 expect 200 metadata.state=ASKED")
+
+    async def test_an_operation_that_is_cancelled_while_it_is_written_is_not_handed_out(self):
+        """Guards against a hand-out of a task whose cancellation was answered during the write."""
+        await self.play(f"c1 send POST operations | {task('unsafe', requestId='r-1')}")
+        await self.until(lambda: self.gateway.tasks.known, "the submission is being written")
+        [name] = self.gateway.tasks.known
+        name = name.replace("tasks", "operations")
+        await self.play(f"c2 send POST {name}:cancel | {{}}\nc2 expect 200 metadata.state=CANCELLED")
+        self.disk_goes_on.set()
+        await self.play("c1 expect 200 done=True metadata.state=CANCELLED")
+        await self.expect_nothing_for("p1", "b1")
+
+    async def test_a_submission_that_the_disk_does_not_take_in_time_is_refused_at_its_deadline(self):
+        """Guards against a submission without an answer for as long as the disk hangs."""
+        started = time.monotonic()
+        await self.play(f"""
+            c1 send POST tasks | {task("unsafe", left=400, requestId="r-1")}
+            c1 expect 200 answer=refused
+        """)
+        self.assertLess(time.monotonic() - started, 0.4 + ANSWER_SLACK_S)
+        self.disk_goes_on.set()
+        await self.expect_nothing_for("p1", "b1")
+
+
 class EveryPrefix(KilledBetweenWrites):
     async def test_no_prefix_of_the_store_starts_an_unsafe_task_twice(self):
         """Guards every moment at which the gateway can be killed while a task is handed out and runs.
--- a/weldhatch/pullqueue/operations.py
+++ b/weldhatch/pullqueue/operations.py
@@ -42,18 +42,19 @@
     async def batch_submit(self, request: Request) -> dict:
         """Submit several tasks, each with an operation or an error of its own in the answer."""
         entries = self._entries(request.json(), "requests", dict)
-        result = []
-        for entry in entries:
-            try:
-                result.append(
-                    {
-                        "operation": self.operation_json(
-                            await self._tasks.start_operation(entry, request.caller)
-                        )
-                    }
-                )
-            except HttpError as fault:
-                result.append(fault.body())
+        result: list[dict] = []
+        submissions: list[Submission] = []
+        try:
+            for entry in entries:
+                try:
+                    submissions.append(await self._tasks.start_operation(entry, request.caller))
+                    result.append({"operation": self.operation_json(submissions[-1])})
+                except HttpError as fault:
+                    result.append(fault.body())
+        except asyncio.CancelledError:  # the submitter has disconnected, and was told none of the names
+            for submission in submissions:
+                self._tasks.give_up_unless_fetchable(submission)
+            raise
         return {"responses": result}
 
     def batch_cancel(self, request: Request) -> dict:
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -29,7 +29,7 @@
 from weldhatch.pullqueue.errors import HttpError
 from weldhatch.pullqueue.http import Request
 from weldhatch.pullqueue.leases import KeyLedger, KeyRejection
-from weldhatch.pullqueue.machines import LeasePayload
+from weldhatch.pullqueue.machines import LeasePayload, payload_of
 from weldhatch.pullqueue.storage import NoStorage, QueueStorage
 from weldhatch.pullqueue.submission import NullOwner, Submission
 from weldhatch.pullqueue.submission_form import SubmissionReader, for_callers_tenant
@@ -39,6 +39,7 @@
 from weldhatch.store.log import LogError
 
 MAX_ENDED_KEPT = 1024  # submissions that are over and can still be queried
+UNSTORED_RETRY_US = 1_000_000  # Retry-After of a submission that could not be stored
 LAG_CHECK_INTERVAL_S = 0.1  # interval of measuring the event loop's lag
 RECORDED_FIELDS = ("class", "left", "tenant", "key", "idem", "extras", "retry", "requirements")
 
@@ -73,13 +74,16 @@
         self.admission = AdmissionQueue(
             {n: max(tenant.portion, 0.001) for n, tenant in enumerate(settings.tenants)} or {0: 1.0}, queue
         )
+        self._storing: set[asyncio.Task[None]] = set()  # of submissions that are not on the disk yet
         self._awaiting_admission: dict[Ticket, asyncio.Future[bool]] = {}
         self._loop_lag = LoopLag(time.monotonic)
         self._lag_task = asyncio.get_running_loop().create_task(self._watch_lag())
 
     def close(self) -> None:
-        """Stop measuring the event loop's lag."""
+        """Stop measuring the event loop's lag; submissions that are not on the disk yet go no further."""
         self._lag_task.cancel()
+        for storing in self._storing:
+            storing.cancel()
 
     async def _watch_lag(self) -> None:
         """Adapt the admission limit to the event loop's lag, and reject tickets that are late.
@@ -106,12 +110,19 @@
             return answer, self._headers(answer)
         try:
             answer = await asyncio.shield(submission.answer)
-        except asyncio.CancelledError:  # the submitter has disconnected
-            if not submission.meta["request"]:  # without a request id, no client can fetch the answer later
-                self.give_up(submission)
+        except asyncio.CancelledError:
+            self.give_up_unless_fetchable(submission)
             raise
         return answer, self._headers(answer)
 
+    def give_up_unless_fetchable(self, submission: Submission) -> None:
+        """Give up a submission whose submitter has disconnected before it was told the name or the answer.
+
+        With a request id, the submitter can ask for it again.
+        """
+        if not submission.meta["request"]:
+            self.give_up(submission)
+
     def reconfigure(self, settings: Settings) -> None:
         """Replace the settings; classes keep their indices."""
         self._settings = settings
@@ -178,17 +189,43 @@
         payload = LeasePayload(
             placement, blob, submission.set_result, lambda: self._first_record(submission, blob)
         )
-        if fetches_later or request_id:
-            try:
-                await self._storage.append(*self._first_record(submission, blob))
-            except LogError as fault:
-                submission.refused(1_000_000, "the store takes nothing")
-                raise HttpError(503, f"store: {fault}", "store", 1.0) from None
         task = self._task(submission.name, placement, deadline, payload, form.requirements)
-        submission.ticket = Ticket(placement.tenant, deadline, now, placement.again)
-        self._request_admission(submission, task)
+        ticket = Ticket(placement.tenant, deadline, now, placement.again)
+        if fetches_later or request_id:
+            await self._store_and_request(submission, task, ticket)
+        else:
+            submission.ticket = ticket
+            self._request_admission(submission, task)
         return submission, {}
 
+    async def _store_and_request(self, submission: Submission, task: ports.Task, ticket: Ticket) -> None:
+        """Request admission for a submission once it is on the disk, also if its submitter disconnects.
+
+        A submission that nobody could fetch later is given up then. Raises HttpError.
+        """
+        storing = asyncio.get_running_loop().create_task(self._store_then_request(submission, task, ticket))
+        self._storing.add(storing)
+        storing.add_done_callback(self._storing.discard)
+        try:
+            await asyncio.shield(storing)
+        except asyncio.CancelledError:
+            self.give_up_unless_fetchable(submission)
+            raise
+
+    async def _store_then_request(self, submission: Submission, task: ports.Task, ticket: Ticket) -> None:
+        records = self._first_record(submission, payload_of(task).blob)
+        try:
+            async with asyncio.timeout(max(0, task.deadline_us - unix_us()) / 1e6):
+                await self._storage.append(*records)
+        except TimeoutError:
+            submission.refused(UNSTORED_RETRY_US, "the store has not taken it in time")
+        except LogError as fault:
+            submission.refused(UNSTORED_RETRY_US, "the store takes nothing")
+            raise HttpError(503, f"store: {fault}", "store", UNSTORED_RETRY_US / 1e6) from None
+        if not submission.over.is_set():  # neither refused nor given up while it was written
+            submission.ticket = ticket
+            self._request_admission(submission, task)
+
     def _create(self, key: int, tenant: int, meta: dict) -> Submission:
         self._serial += 1
         name = f"tasks/{self._epoch}-{self._serial}"
