Keep the lease of a deleted operation in the store until its machine has stopped

Cause: the record "drop" removes the submission from the store, and a lease is restored only through its submission; in memory the lease and its key go on until the machine has stopped. Change: while a lease is out, "drop" marks the submission; the end of the lease removes it. A starting gateway restores the lease and its key, and callers do not see the submission.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -52,6 +52,10 @@
         """)
         return self.parties[submitter].seen["operation"]
 
+    def stored_operations(self):
+        """Return the names of the operations that are on the disk."""
+        return [name.replace("tasks", "operations") for name in self.gateway.storage.state.operations]
+
     async def expect_nothing_for(self, machine, name, hall="east"):
         """Open a session of a machine, and check that it gets no lease."""
         await self.play(f"""
@@ -178,6 +182,54 @@
         self.assertEqual(state.operations, again.operations)
 
 
+class HeldLeases(KilledBetweenWrites):
+    """A machine still holds a lease whose submission is over."""
+
+    async def test_the_key_of_a_deleted_operation_stays_leased_until_its_machine_has_stopped(self):
+        """Guards against two attempts at once: the deletion took the lease out of the store as well."""
+        name = await self.hand_out("keyed")
+        await self.play(f"""
+            p1 send PATCH $session | {lease("ACTIVE")}
+            p1 expect 200
+            c1 send POST {name}:cancel | {{}}
+            c1 expect 200 metadata.state=CANCELLED
+            c1 send DELETE {name}
+            c1 expect 200
+        """)
+        held = self.parties["p1"].seen["lease"]
+        for _ in range(2):
+            await self.kill_after("drop")
+            self.assertEqual([held], [one.id for one in self.gateway.bots.leases.handed_out()])
+        await self.play(f"""
+            c2 send GET {name}
+            c2 expect 404
+            c2 send POST tasks | {task("keyed")}
+            c2 expect 200 answer=refused
+            p2 send POST botSessions | {self.session_body(held, "CANCELLED")}
+            p2 expect 200 leases=[]
+            c2 send POST operations | {task("keyed")}
+            c2 expect 200 metadata.state=ASKED
+        """)
+        await self.gateway.storage.flush()
+        self.assertEqual([self.parties["c2"].seen["operation"]], self.stored_operations())
+
+    async def test_a_snapshot_keeps_the_lease_of_a_deleted_operation(self):
+        """Guards against a compaction while a machine holds the lease of a deleted operation."""
+        name = await self.hand_out("keyed")
+        await self.play(f"""
+            c1 send POST {name}:cancel | {{}}
+            c1 expect 200
+            p1 send PATCH $session | {lease("ACTIVE")}
+            p1 expect 200 leases.0.state=CANCELLED
+            c1 send DELETE {name}
+            c1 expect 200
+        """)
+        state = durable_state.fold(await self.stop_gateway())
+        again = durable_state.fold(state.snapshot_records())
+        self.assertEqual((state.operations, state.leases), (again.operations, again.leases))
+        self.assertEqual([True], [operation.dropped for operation in again.operations.values()])
+
+
 class AbandonedWrites(KilledBetweenWrites):
     """A submitter disconnects while its submission is written."""
 
--- a/weldhatch/pullqueue/durable_state.py
+++ b/weldhatch/pullqueue/durable_state.py
@@ -17,7 +17,7 @@
                                                     told of that
     ["answer", name, answer]                        the final answer to a submission
     ["end", name, state, cause, result]             the task of a submission has ended
-    ["drop", name]                                  a submission is no longer kept
+    ["drop", name]                                  a submission is no longer kept, once its lease has ended
     ["spent", keys]                                 keys of tasks that must not be handed out again
 
 A lease ends in one record, and what follows from its end (an answer, the end of the task, another attempt) is
@@ -118,6 +118,7 @@
     result: object = None
     over: bool = False
     lease: str = ""
+    dropped: bool = False  # unknown to callers; kept only for the lease that its machine may still hold
     ended_leases: list[EndedLease] = field(default_factory=list)  # decide its answer or end
 
     def add_end(self, ended: EndedLease) -> None:
@@ -204,18 +205,31 @@
             case "over", [id, *end]:
                 self._end_lease(id, end)
             case "back", [id]:
-                self.leases.pop(id, None)
+                self._remove_lease(id)
             case _:
                 return False
         return True
 
     def _end_lease(self, id: str, end: list[Any]) -> None:
-        lease = self.leases.pop(id, None)
+        lease = self._remove_lease(id)
         operation = self.operations.get(lease.operation) if lease else None
         if operation is not None:
             outcome, *rest = end or [Outcome.ERROR]
             operation.add_end(EndedLease(lease, LeaseEnd(Outcome(outcome), *rest)))
 
+    def _remove_lease(self, id: str) -> LeaseRecord | None:
+        """Remove a lease, and its submission if that was only kept for it; return the lease, if known."""
+        lease = self.leases.pop(id, None)
+        if lease and (operation := self.operations.get(lease.operation)) and operation.dropped:
+            del self.operations[operation.name]
+        return lease
+
+    def _drop(self, operation: OperationRecord) -> None:
+        """Remove a submission; while a machine may hold its lease, its task and key are still restored."""
+        operation.dropped = operation.lease in self.leases
+        if not operation.dropped:
+            del self.operations[operation.name]
+
     def _apply_operation(self, kind: str, values: list[Any]) -> bool:
         """Apply a record of a submission; return False for any other."""
         match kind, values:
@@ -234,7 +248,8 @@
                     operation.result = result
                     operation.end()
             case "drop", [name]:
-                self.operations.pop(name, None)
+                if operation := self.operations.get(name):
+                    self._drop(operation)
             case _:
                 return False
         return True
@@ -260,6 +275,8 @@
                 yield encode("answer", operation.name, answer)
             if operation.over and (answer is None or answer["answer"] == "placed"):
                 yield encode("end", operation.name, operation.state, operation.cause, operation.result)
+            if operation.dropped:
+                yield encode("drop", operation.name)
 
     @staticmethod
     def _lease_records(lease: LeaseRecord) -> Iterator[bytes]:
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -396,12 +396,16 @@
 
     def drop(self, name: str) -> None:
         """Remove a submission, so that it can't be queried any more."""
-        submission = self.known.pop(name, None)
+        submission = self.known.get(name)
         if submission is not None:
-            self._by_request.pop((submission.tenant, submission.meta.get("request", "")), None)
+            self._forget(submission)
             if submission.recorded:
                 self._storage.append_with_retry(durable_state.encode("drop", name))
 
+    def _forget(self, submission: Submission) -> None:
+        del self.known[submission.name]
+        self._by_request.pop((submission.tenant, submission.meta.get("request", "")), None)
+
     def record(self, submission: Submission, payload: bytes) -> asyncio.Future | None:
         """Store a record of a submission; None if the submission itself is not stored."""
         return self._storage.append_with_retry(payload) if submission.recorded else None
@@ -451,13 +455,7 @@
                 self._log(f"store: {stored.name} not restored, invalid under the current settings: {fault}")
                 continue
             placement = form.request
-            submission = self.known[stored.name] = Submission(
-                self, stored.name, placement.key, placement.tenant, stored.meta
-            )
-            submission.fields = stored.fields
-            submission.restore(stored)
-            if stored.meta.get("request"):
-                self._by_request[placement.tenant, stored.meta["request"]] = submission
+            submission = self._restore_submission(stored, placement)
             payload = LeasePayload(placement, stored.blob, submission.set_result)
             task = self._task(stored.name, placement, stored.meta["deadline"], payload, form.requirements)
             if stored.uncertain is not None:
@@ -484,11 +482,23 @@
                 submission.released(CAUSE_LOST)
             else:
                 resubmitted.append((submission, task))
+            if stored.dropped:
+                self._forget(submission)
         self._ledger.restore(state.spent, self._bots.leases.handed_out(), reserved_keys)
         for submission, task in resubmitted:
             self._request_again(submission, task)
         return restored_leases, len(resubmitted)
 
+    def _restore_submission(self, stored: OperationRecord, placement: PlacementRequest) -> Submission:
+        submission = self.known[stored.name] = Submission(
+            self, stored.name, placement.key, placement.tenant, stored.meta
+        )
+        submission.fields = stored.fields
+        submission.restore(stored)
+        if stored.meta.get("request"):
+            self._by_request[placement.tenant, stored.meta["request"]] = submission
+        return submission
+
     def _attempt_on(self, ended: EndedLease, stored: OperationRecord) -> Attempt:
         """Return the attempt of a lease of a former run.
 
