Store that a lease is to stop: a cancelled task ran on after a kill

Cause: the phase CANCELLED of a lease was in memory only, and the restored lease had no owner that could end it. Change: the record "stop", written where a lease is cancelled; a restored lease with it is told to stop at once.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -229,6 +229,39 @@
         self.assertEqual((state.operations, state.leases), (again.operations, again.leases))
         self.assertEqual([True], [operation.dropped for operation in again.operations.values()])
 
+    async def check_stopped(self, kind):
+        """Check that a machine that comes back after a kill is told to stop its task, and frees its key."""
+        held = self.parties["p1"].seen["lease"]
+        await self.kill_after(kind)
+        await self.play(f"""
+            p2 send POST botSessions | {self.session_body(held)}
+            p2 expect 200 leases.0.state=CANCELLED
+            p2 send PATCH $session | {json.dumps({"leases": [{"id": held, "state": "CANCELLED"}]})}
+            p2 expect 200 leases=[]
+            c2 send POST operations | {task("keyed")}
+            c2 expect 200 metadata.state=ASKED
+        """)
+
+    async def test_a_cancelled_task_is_stopped_by_the_next_gateway(self):
+        """Guards against a cancelled task that runs on, with its key refused, after a kill."""
+        name = await self.hand_out("keyed")
+        await self.play(f"""
+            p1 send PATCH $session | {lease("ACTIVE")}
+            p1 expect 200
+            c1 send POST {name}:cancel | {{}}
+            c1 expect 200 metadata.state=CANCELLED
+        """)
+        await self.check_stopped("stop")
+
+    async def test_a_task_whose_submitter_was_answered_failed_is_stopped_by_the_next_gateway(self):
+        """Guards against a task that runs on after its deadline was answered with `failed` and a kill."""
+        name = await self.hand_out("keyed", left=300)
+        await self.play(f"""
+            c1 send POST {name}:wait | {{"timeout": "5s"}}
+            c1 expect 200 metadata.state=FAILED
+        """)
+        await self.check_stopped("answer")
+
 
 class AbandonedWrites(KilledBetweenWrites):
     """A submitter disconnects while its submission is written."""
--- a/weldhatch/pullqueue/bot_leases.py
+++ b/weldhatch/pullqueue/bot_leases.py
@@ -97,8 +97,7 @@
             elif lease.phase is LeasePhase.CANCELLED or now >= lease.expires:
                 # A renewal after the expiry is rejected: the puller had to stop the task at the expiry, and
                 # the task may be placed elsewhere as soon as the grace period is over.
-                lease.phase = LeasePhase.CANCELLED
-                bot.stopping[lease.id] = lease
+                self._cancel(lease)
             elif entry.state == "ACTIVE":
                 self._renew(bot, lease)
         return to_end
@@ -165,6 +164,9 @@
         lease = Lease(record.id, bot.machine, task, 0, NullReceiver(), phase)
         self.by_id[lease.id] = lease
         bot.add(lease)
+        if record.stopping:
+            lease.phase = LeasePhase.CANCELLED
+            bot.stopping[lease.id] = lease
         self.extend_lease(lease)
         if not record.seen and record.until:
             lease.expires = min(lease.expires, record.until)
@@ -248,6 +250,8 @@
 
     def _cancel(self, lease: Lease) -> None:
         """Cancel a lease at its puller's next update; the lease ends when the puller confirms that."""
+        if lease.phase is not LeasePhase.CANCELLED:
+            self._storage.append_with_retry(durable_state.encode("stop", lease.id))
         lease.phase = LeasePhase.CANCELLED
         bot = self._registry.by_machine[lease.machine]
         bot.stopping[lease.id] = lease
--- a/weldhatch/pullqueue/durable_state.py
+++ b/weldhatch/pullqueue/durable_state.py
@@ -11,6 +11,7 @@
     ["back", lease]                                 the lease was not handed out after all
     ["running", lease]                              the machine has started the task of the lease
     ["seen", lease]                                 the machine has renewed the lease: once an epoch
+    ["stop", lease]                                 the machine must stop the task of the lease
     ["until", lease, expires]                       a starting gateway counts the lease as leased until then
     ["over", lease, outcome, cause, result, message]
                                                     the lease has ended: what the core and the submitter are
@@ -63,6 +64,7 @@
     place: list[Any]
     attempt: int
     running: bool = False
+    stopping: bool = False
     seen: bool = True
     until: float = 0.0
     at: int = 0  # Unix us of the hand-out; 0 if unknown
@@ -194,6 +196,9 @@
                     lease.running = True
                     lease.seen = True
                     lease.until = 0.0
+            case "stop", [id]:
+                if lease := self.leases.get(id):
+                    lease.stopping = True
             case "seen", [id]:
                 if lease := self.leases.get(id):
                     lease.seen = True
@@ -283,6 +288,8 @@
         yield encode("handed", lease.id, lease.operation, lease.bot, lease.place, lease.attempt, lease.at)
         if lease.running:
             yield encode("running", lease.id)
+        if lease.stopping:
+            yield encode("stop", lease.id)
 
     @property
     def snapshot_size(self) -> int:
