Answer placed for a restored task that runs: its answer may not have been written

Seen: killed between the records "running" and "answer", the next gateway answers failed at the deadline and stops the task, also where the submitter had heard placed. Cause: the restart went by the answer alone, and a lease restored as ACTIVE reports no start again. Change: a restored lease that runs has its submission answered placed. Evidence: the new test fails on the code before (metadata.state=FAILED) and passes now.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -262,6 +262,19 @@
         """)
         await self.check_stopped("answer")
 
+    async def test_a_task_that_has_started_is_placed_although_its_answer_was_not_written(self):
+        """Guards against `failed`, and the end of the task, at the deadline of a task that runs."""
+        name = await self.hand_out("unsafe", left=1000)
+        await self.play(f"p1 send PATCH $session | {lease('ACTIVE')}\np1 expect 200")
+        held = self.parties["p1"].seen["lease"]
+        await self.kill_after("running")
+        await self.play(f"""
+            p2 send POST botSessions | {self.session_body(held)}
+            p2 expect 200 leases.0.state=ACTIVE
+            c2 send POST {name}:wait | {{"timeout": "1.2s"}}
+            c2 expect 200 done=False metadata.state=PLACED metadata.answer.botId=b1
+        """)
+
 
 class AbandonedWrites(KilledBetweenWrites):
     """A submitter disconnects while its submission is written."""
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -468,11 +468,13 @@
                 machine = self._bots.leases.restore(lease, task)
                 if not stored.over:
                     reserved_keys.append(placement.key)
+                    if lease.running and submission.final_answer is None:
+                        submission.placed(lease.bot)  # the former run was about to answer so
                 submission.lifecycle = self._core.adopt(
                     task,
                     machine,
                     NullOwner() if stored.over else submission,
-                    answered=stored.over or stored.answer is not None,
+                    answered=stored.over or submission.final_answer is not None,
                 )
             elif stored.over:
                 self._ended.append(stored.name)
