Restore the answer of a submission that was given up: its request id hung

Seen: a submission is cancelled before its answer, the gateway is killed and started; a call under the same request id is never answered. Cause: the answer refused was set in memory, and only the end CANCELLED was stored. Change: a restored submission that is over without an answer gets the answer of one that was given up. Evidence: the new test fails on the code before (no message arrives) and passes now.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -276,6 +276,17 @@
         """)
 
 
+class GivenUpSubmissions(KilledBetweenWrites):
+    async def test_a_submission_that_was_given_up_has_the_same_answer_after_a_kill(self):
+        """Guards against a call under its request id that is never answered: the answer was not stored."""
+        body = task("unsafe", requestId="r-1")
+        await self.play(f"c1 send POST operations | {body}\nc1 expect 200")
+        await self.play("c1 send POST $operation:cancel | {}\nc1 expect 200 metadata.state=CANCELLED")
+        await self.play(f"c1 send POST tasks | {body}\nc1 expect 200 answer=refused waitMs=0")
+        await self.kill_after("end")
+        await self.play(f"c2 send POST tasks | {body}\nc2 expect 200 answer=refused waitMs=0")
+
+
 class AbandonedWrites(KilledBetweenWrites):
     """A submitter disconnects while its submission is written."""
 
--- a/weldhatch/pullqueue/submission.py
+++ b/weldhatch/pullqueue/submission.py
@@ -82,6 +82,22 @@
         """End the submission: its submitter has cancelled it."""
         self._end_submission("CANCELLED")
 
+    def given_up(self) -> None:
+        """Answer and end the submission: its submitter gave it up before it had an answer."""
+        self._answer_given_up()
+        self.ended_by_owner()
+
+    def _answer_given_up(self) -> None:
+        """Set the answer of a submission that was given up. It follows from the state and is not stored."""
+        self.final_answer = {
+            "answer": "refused",
+            "name": self.name,
+            "reason": "given up by its submitter",
+            "waitMs": 0,
+        }
+        if not self.answer.done():
+            self.answer.set_result(self.final_answer)
+
     def set_result(self, result: object, message: str) -> None:
         """Set the result and message that the machine reported with the end of a lease."""
         self.result, self.message = result, message
@@ -122,6 +138,8 @@
             self.final_answer = record.answer
             self.bot = record.answer.get("botId") or ""
             self.answer.set_result(record.answer)
+        elif record.over:
+            self._answer_given_up()
         if record.over:
             self.over.set()
 
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -377,15 +377,7 @@
         elif submission.ticket is not None:
             self.admission.withdraw(submission.ticket)
             self._awaiting_admission.pop(submission.ticket, None)
-        submission.final_answer = {
-            "answer": "refused",
-            "name": submission.name,
-            "reason": "given up by its submitter",
-            "waitMs": 0,
-        }
-        submission.ended_by_owner()
-        if not submission.answer.done():
-            submission.answer.set_result(submission.final_answer)
+        submission.given_up()
 
     def on_end(self, submission: Submission) -> None:
         """Release the key of a submission that is over, and drop the oldest such submission if too many."""
