Wait at SIGTERM for submissions that are not in the core yet

Cause: the shutdown waited for the core's unanswered requests only; a submission on its way to the disk, in the admission queue, behind others of its batch or unread in its socket is not among them. Change: the shutdown waits until no call that submits is open, nothing waits for the disk or admission, and the core has answered all, for 0.1 s together. What is sent later gets 503.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -1,5 +1,6 @@
 """The pull queue after a kill between two writes of its store: nothing done is forgotten or repeated."""
 
+import asyncio
 import json
 import threading
 import time
@@ -287,8 +288,8 @@
         await self.play(f"c2 send POST tasks | {body}\nc2 expect 200 answer=refused waitMs=0")
 
 
-class AbandonedWrites(KilledBetweenWrites):
-    """A submitter disconnects while its submission is written."""
+class SlowDisk(KilledBetweenWrites):
+    """A gateway whose disk takes nothing until the test lets it go on."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -306,6 +307,10 @@
         self.disk_goes_on.set()
         await super().asyncTearDown()
 
+
+class AbandonedWrites(SlowDisk):
+    """A submitter disconnects while its submission is written."""
+
     async def lose(self, submitter):
         """Close the connection of a submitter once its submission is being written."""
         await self.until(lambda: self.gateway.tasks.known, "the submission is being written")
@@ -375,6 +380,45 @@
         await self.expect_nothing_for("p1", "b1")
 
 
+class Shutdowns(SlowDisk):
+    """A gateway is told to end while submissions are written."""
+
+    async def test_submissions_that_are_written_at_sigterm_are_answered(self):
+        """Guards against connections that are closed without an answer: the write was not waited for."""
+        body = task("unsafe", "b0", left=1500, requestId="r-0")
+        batch = json.dumps({"requests": [json.loads(task("safe", f"b{n}", left=1500)) for n in (1, 2, 3)]})
+        await self.play(f"c1 send POST tasks | {body}\nc2 send POST operations:batchSubmit | {batch}")
+        await self.until(lambda: self.gateway.tasks._storing, "a submission is being written")
+        shutdown = asyncio.create_task(self.gateway.end())
+        await asyncio.sleep(0.3)
+        self.disk_goes_on.set()
+        await self.play("c1 expect 200 answer=refused")
+        await self.play("c2 expect 200 responses.2.operation.metadata.state=ASKED")
+        await asyncio.wait_for(shutdown, EVENT_TIMEOUT_S)
+
+    async def test_submissions_that_are_unread_at_sigterm_are_answered(self):
+        """Guards against a shutdown before the input of open connections was read."""
+        self.disk_goes_on.set()
+        await self.play("c1 send GET operations | {}\nc1 expect 200")
+        await self.play("c2 send GET operations | {}\nc2 expect 200")
+        await self.play(f"c1 send POST tasks | {task('unsafe', left=300, requestId='r-1')}")
+        await self.play(f"c2 send POST tasks | {task('safe', 'b2', left=300)}")
+        await asyncio.wait_for(self.gateway.end(), EVENT_TIMEOUT_S)
+        await self.play("c1 expect 200 answer=refused\nc2 expect 200 answer=refused")
+
+    async def test_a_submission_that_is_sent_during_the_shutdown_is_refused(self):
+        """Guards against a shutdown that never ends because clients go on to submit."""
+        await self.play("c1 send GET operations | {}\nc1 expect 200")
+        await self.play(f"c2 send POST tasks | {task('unsafe', left=1000, requestId='r-1')}")
+        await self.until(lambda: self.gateway.tasks._storing, "a submission is being written")
+        shutdown = asyncio.create_task(self.gateway.end())
+        await asyncio.sleep(0.3)
+        await self.play(f"c1 send POST tasks | {task('safe', 'b3')}\nc1 expect 503")
+        self.disk_goes_on.set()
+        await self.play("c2 expect 200 answer=refused")
+        await asyncio.wait_for(shutdown, EVENT_TIMEOUT_S)
+
+
 class EveryPrefix(KilledBetweenWrites):
     async def test_no_prefix_of_the_store_starts_an_unsafe_task_twice(self):
         """Guards every moment at which the gateway can be killed while a task is handed out and runs.
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from tornado.iostream import IOStream
@@ -18,7 +18,7 @@
 from weldhatch.net.listener import Listener
 from weldhatch.pullqueue.bot_sessions import BotSessions
 from weldhatch.pullqueue.errors import HttpError
-from weldhatch.pullqueue.http import EventStream, HttpConnection, Request, encode_error
+from weldhatch.pullqueue.http import Answer, EventStream, HttpConnection, Request, encode_error
 from weldhatch.pullqueue.leases import KeyLedger
 from weldhatch.pullqueue.monotonic_unix_time import steady
 from weldhatch.pullqueue.operations import Operations
@@ -32,6 +32,9 @@
 
 PATH_PREFIX = "/v1test2/"
 FLUSH_TIMEOUT_S = 0.5
+QUIET_S = 0.1  # a graceful shutdown goes on once no submission has been open for this time
+SHUTDOWN_CHECK_INTERVAL_S = 0.01
+RESTART_RETRY_S = 1.0  # Retry-After of a submission that is received during the shutdown
 IDLE_CHECK_INTERVAL_S = 0.5
 INCOMPLETE_REQUEST_TIMEOUT_S = 10.0
 
@@ -94,6 +97,8 @@
         self._share = DescriptorShare(DescriptorBudget(config.sockets), config.connections)
         self._links: dict[Connection, HttpConnection] = {}
         self._serving: set[asyncio.Task] = set()
+        self._open_submissions = 0  # calls that submit tasks and are not answered yet
+        self._refuses_submissions = False
         self.security = Security(config.security)
         self._quotas = CallQuotas(config.security.calls)
         self.listener = Listener(config.listen, self._share, self._accept)
@@ -225,17 +230,17 @@
             case "PATCH", "botSessions", True, _:
                 return await self.bots.update(path, request), {}
             case "POST", "tasks", False, _:
-                return await self.tasks.submit(request)
+                return await self._take_submissions(self.tasks.submit, request)
             case "GET", "tasks", True, _:
                 return await self.tasks.get(path, request), {}
             case "DELETE", "tasks", True, _:
                 return self.tasks.delete(path, request.caller), {}
             case "POST", "operations:batchSubmit", _, _:
-                return await self.operations.batch_submit(request), {}
+                return await self._take_submissions(self.operations.batch_submit, request)
             case "POST", "operations:batchCancel", _, _:
                 return self.operations.batch_cancel(request), {}
             case "POST", "operations", False, _:
-                return await self.operations.submit(request), {}
+                return await self._take_submissions(self.operations.submit, request)
             case "GET", "operations", False, _:
                 return self.operations.list(request), {}
             case "GET", "operations", True, "watch":
@@ -257,15 +262,37 @@
         self.listener.close()
         if self.sites is not None:
             self.sites.draining = True  # accept no new tasks of other sites; pending ones are answered
-        while (self.sites or self.core).unanswered:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(0.05)  # lets the tasks that send the answers run
+        await self._answer_submissions()
         await asyncio.gather(*(connection.finish(FLUSH_TIMEOUT_S) for connection in list(self._links)))
         await self.storage.flush()
         if self._site_storage is not None:
             await self._site_storage.flush()
         self.abort()
 
+    async def _answer_submissions(self) -> None:
+        """Return once all submissions are answered that were received before the shutdown began.
+
+        What clients had sent by then is read within QUIET_S; what they send later is refused.
+        """
+        started = quiet_since = time.monotonic()
+        while (now := time.monotonic()) - quiet_since < QUIET_S:
+            self._refuses_submissions = now - started >= QUIET_S
+            await asyncio.sleep(SHUTDOWN_CHECK_INTERVAL_S)
+            if self._open_submissions or self.tasks.waiting or (self.sites or self.core).unanswered:
+                quiet_since = time.monotonic()
+
+    async def _take_submissions(
+        self, take: Callable[[Request], Awaitable[Answer]], request: Request
+    ) -> Answer:
+        """Handle a call that submits tasks; a graceful shutdown waits for its end. Raises HttpError."""
+        if self._refuses_submissions:
+            raise HttpError(503, "the gateway is shutting down", "", RESTART_RETRY_S, closes_connection=True)
+        self._open_submissions += 1
+        try:
+            return await take(request)
+        finally:
+            self._open_submissions -= 1
+
     def abort(self) -> None:
         """Close all sockets and files at once."""
         self.listener.close()
--- a/weldhatch/pullqueue/operations.py
+++ b/weldhatch/pullqueue/operations.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator
 
 from weldhatch.pullqueue.errors import HttpError
-from weldhatch.pullqueue.http import EventStream, Request
+from weldhatch.pullqueue.http import Answer, EventStream, Request
 from weldhatch.pullqueue.submission import Submission
 from weldhatch.pullqueue.tasks import Tasks
 
@@ -35,11 +35,11 @@
         """Serve these submissions."""
         self._tasks = tasks
 
-    async def submit(self, request: Request) -> dict:
+    async def submit(self, request: Request) -> Answer:
         """Submit a task; answer with its operation without waiting for the placement."""
-        return self.operation_json(await self._tasks.start_operation(request.json(), request.caller))
+        return self.operation_json(await self._tasks.start_operation(request.json(), request.caller)), {}
 
-    async def batch_submit(self, request: Request) -> dict:
+    async def batch_submit(self, request: Request) -> Answer:
         """Submit several tasks, each with an operation or an error of its own in the answer."""
         entries = self._entries(request.json(), "requests", dict)
         result: list[dict] = []
@@ -55,7 +55,7 @@
             for submission in submissions:
                 self._tasks.give_up_unless_fetchable(submission)
             raise
-        return {"responses": result}
+        return {"responses": result}, {}
 
     def batch_cancel(self, request: Request) -> dict:
         """Cancel several operations, each with an operation or an error of its own in the answer."""
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -85,6 +85,11 @@
         for storing in self._storing:
             storing.cancel()
 
+    @property
+    def waiting(self) -> int:
+        """Number of submissions without an answer that are not in the core yet."""
+        return len(self._storing) + len(self._awaiting_admission)
+
     async def _watch_lag(self) -> None:
         """Adapt the admission limit to the event loop's lag, and reject tickets that are late.
 
