Take in connections that wait to be accepted when the pull queue shuts down

Cause: the shutdown closed the listener, which resets what the system has taken and the gateway has not accepted. Change: Listener.finish, as the platform's front does; the shutdown then waits for what they send.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -1,7 +1,9 @@
 """The pull queue after a kill between two writes of its store: nothing done is forgotten or repeated."""
 
 import asyncio
+import contextlib
 import json
+import socket
 import threading
 import time
 from typing import ClassVar
@@ -14,6 +16,7 @@
 from weldhatch.store.log import MAGIC, encode_record, read_records
 
 ANSWER_SLACK_S = 0.5  # how long after its deadline an answer may come on a busy machine
+WAITING_CONNECTIONS = 30
 POLL_S = 0.3  # how long a machine waits for a lease that must not come
 
 
@@ -418,6 +421,22 @@
         await self.play("c2 expect 200 answer=refused")
         await asyncio.wait_for(shutdown, EVENT_TIMEOUT_S)
 
+    async def test_submissions_on_connections_that_wait_to_be_accepted_at_sigterm_are_answered(self):
+        """Guards against a reset of connections that the system took before the shutdown began."""
+        self.disk_goes_on.set()
+        body = task("safe", "", left=300).encode()
+        head = f"POST /v1test2/tasks HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        clients = [
+            socket.create_connection(self.gateway.listener.address) for _ in range(WAITING_CONNECTIONS)
+        ]
+        with contextlib.ExitStack() as open_clients:
+            for client in clients:
+                open_clients.enter_context(client)
+                client.sendall(head + body)
+            await asyncio.wait_for(self.gateway.end(), EVENT_TIMEOUT_S)
+            answers = [client.recv(4096) for client in clients]
+        self.assertEqual({b"HTTP/1.1 200 OK"}, {answer.partition(b"\r\n")[0] for answer in answers})
+
 
 class EveryPrefix(KilledBetweenWrites):
     async def test_no_prefix_of_the_store_starts_an_unsafe_task_twice(self):
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -258,8 +258,8 @@
         raise HttpError(404, "path: nothing is there", "path")
 
     async def end(self) -> None:
-        """Shut down gracefully: accept no connections, and answer all pending submissions first."""
-        self.listener.close()
+        """Shut down gracefully: take in waiting connections, then answer all pending submissions."""
+        self.listener.finish()
         if self.sites is not None:
             self.sites.draining = True  # accept no new tasks of other sites; pending ones are answered
         await self._answer_submissions()
