Never count a lease as over before its machine was promised so

Cause: a renewal set the expiry to the new lease time, earlier than what the machine had been told; a start with a shorter lease did so to restored leases, since the store did not hold for how long they were promised. Change: a renewal never shortens a lease; the record "lease" holds the longest promise, and a start counts by it. A longer lease is promised only once it is stored. The test of a restored lease that is never renewed started with 0.5 s after promising 30 s, and wanted the task lost while it might run; it now promises 0.5 s, with the same checks.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -115,6 +115,7 @@
         """)
 
     async def test_a_restored_lease_that_is_never_renewed_ends_at_its_expiry(self):
+        await self.restart(lease=0.5, poll=0.2)
         _, name = await self.place_task("safe")
         await self.restart(lease=0.5, poll=0.2)
         await self.play(
--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -6,6 +6,8 @@
 import socket
 import threading
 import time
+from dataclasses import replace
+from datetime import datetime
 from typing import ClassVar
 
 from scenario import EVENT_TIMEOUT_S
@@ -291,6 +293,61 @@
         await self.play(f"c2 send POST tasks | {body}\nc2 expect 200 answer=refused waitMs=0")
 
 
+class ShorterLeases(KilledBetweenWrites):
+    """`timing.lease` is made shorter while a machine holds a lease that it was promised for longer."""
+
+    def reconfigure(self, **timing):
+        """Change durations of the running gateway, as a plan does."""
+        config = self.gateway._config
+        self.gateway.reconfigure(replace(config, timing=replace(config.timing, **timing)))
+
+    async def expiry_of(self, machine, text):
+        """Send a machine's update; return the expiry of its lease, as it is told it, in Unix seconds."""
+        await self.play(f"{machine} send {text}")
+        code, body = await self.parties[machine].received.get()
+        self.assertEqual(200, code, body)
+        self.parties[machine].seen["session"] = body["name"]
+        return datetime.fromisoformat(body["leases"][0]["expireTime"]).timestamp()
+
+    async def test_a_renewal_does_not_shorten_what_the_machine_was_promised(self):
+        """Guards against two attempts at once: the machine is cut off and keeps to the expiry it was told."""
+        await self.hand_out("keyed")
+        renewal = f"PATCH $session | {lease('ACTIVE')}"
+        promised = await self.expiry_of("p1", renewal)
+        self.reconfigure(lease=1.0)
+        self.assertGreaterEqual(await self.expiry_of("p1", renewal), promised)
+        [held] = self.gateway.bots.leases.handed_out()
+        self.assertGreaterEqual(held.expires, promised - 0.001)  # the machine is told milliseconds
+
+    async def test_a_start_with_a_shorter_lease_waits_for_what_machines_were_promised(self):
+        """Guards against two attempts at once after a restart with a shorter lease."""
+        await self.hand_out("keyed")
+        promised = await self.expiry_of("p1", f"PATCH $session | {lease('ACTIVE')}")
+        for _ in range(2):
+            await self.restart(lease=1.0, poll=0.3)
+            [held] = self.gateway.bots.leases.handed_out()
+            self.assertGreaterEqual(held.expires, promised - 0.001)
+
+    async def test_a_longer_lease_is_promised_only_once_it_is_stored(self):
+        """Guards against a promise that the next gateway does not know of."""
+        await self.hand_out("keyed")
+        await self.play(f"p1 send PATCH $session | {lease('ACTIVE')}\np1 expect 200")
+        await self.gateway.storage.flush()
+        goes_on = threading.Event()
+        log = self.gateway.storage._store._log
+        append = log.append
+        log.append = lambda records: goes_on.wait(EVENT_TIMEOUT_S) and append(records)
+        self.reconfigure(lease=300.0)
+        renewal = f"PATCH $session | {lease('ACTIVE')}"
+        self.assertLess(await self.expiry_of("p1", renewal) - time.time(), 100)
+        goes_on.set()
+        await self.gateway.storage.flush()
+        self.assertGreater(await self.expiry_of("p1", renewal) - time.time(), 200)
+        await self.restart()
+        [held] = self.gateway.bots.leases.handed_out()
+        self.assertGreater(held.expires - time.time(), 200)
+
+
 class SlowDisk(KilledBetweenWrites):
     """A gateway whose disk takes nothing until the test lets it go on."""
 
--- a/weldhatch/pullqueue/bot_leases.py
+++ b/weldhatch/pullqueue/bot_leases.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from weldhatch.config import PullQueueTiming
@@ -45,6 +46,7 @@
         """Keep the deadlines of leases under ("lease", id). `now`: Unix seconds of a clock without jumps."""
         self.settings = settings
         self.timing = timing
+        self._lease_s = timing.lease  # what machines are promised; a longer one counts once it is stored
         self._registry = registry
         self._names = names
         self._ledger = ledger
@@ -55,11 +57,28 @@
         self.by_id: dict[str, Lease] = {}
         self._unconfirmed: set[str] = set()  # restored leases that their machines have not renewed yet
 
+    def reconfigure(self, timing: PullQueueTiming) -> None:
+        """Replace the durations. Leases that machines were promised for longer keep their expiry."""
+        self.timing = timing
+        self._lease_s = min(self._lease_s, timing.lease)
+        self.store_lease_time().add_done_callback(lambda _: self._use_lease_time(timing))
+
+    def store_lease_time(self) -> asyncio.Future[None]:
+        """Store for how long leases are promised from now on: the next run counts them as leased so long."""
+        return self._storage.append_with_retry(durable_state.encode("lease", self.timing.lease))
+
+    def _use_lease_time(self, timing: PullQueueTiming) -> None:
+        if self.timing is timing:
+            self._lease_s = timing.lease
+
     # ---- implements `lease_dispatch.LeaseOwner` ------------------------------------------------------------
 
     def extend_lease(self, lease: Lease) -> None:
-        """Extend a lease to a full lease time from now; it stays leased for the grace period after that."""
-        lease.expires = self._now() + self.timing.lease
+        """Extend a lease to a full lease time from now; it stays leased for the grace period after that.
+
+        It is never shortened: its machine may have been told the later expiry.
+        """
+        lease.expires = max(lease.expires, self._now() + self._lease_s)
         self._deadlines.set(("lease", lease.id), lease.expires + self.timing.grace)
 
     def end_lease(self, lease: Lease, end: LeaseEnd, reason: int = 0) -> None:
@@ -167,10 +186,10 @@
         if record.stopping:
             lease.phase = LeasePhase.CANCELLED
             bot.stopping[lease.id] = lease
-        self.extend_lease(lease)
+        lease.expires = self._now() + max(self.timing.lease, self._storage.state.lease_s)
         if not record.seen and record.until:
             lease.expires = min(lease.expires, record.until)
-            self._deadlines.set(("lease", lease.id), lease.expires + self.timing.grace)
+        self._deadlines.set(("lease", lease.id), lease.expires + self.timing.grace)
         self._storage.append_with_retry(durable_state.encode("until", lease.id, lease.expires))
         self._unconfirmed.add(lease.id)
         return bot.machine
--- a/weldhatch/pullqueue/durable_state.py
+++ b/weldhatch/pullqueue/durable_state.py
@@ -4,6 +4,7 @@
 whose first item is its kind:
 
     ["epoch", number, token, at]                    a run of the gateway begins
+    ["lease", seconds]                              for how long leases are promised from now on
     ["asked", name, fields, blob, meta]             a submission was received
     ["handed", lease, name, bot, place, attempt, at]
                                                     a lease is about to be handed out; place: cores, memory,
@@ -54,8 +55,8 @@
     `place`: cores, memory, zone and rack of the machine; `until`: expiry in Unix seconds, 0 if unknown.
 
     Only the first renewal of each epoch is written. After a restart, a lease that was `seen` in the last
-    epoch may run for a full lease time; any other lease keeps its old expiry, however often the gateway
-    restarts.
+    epoch may run for a full lease time, by the longest that was promised; any other lease keeps its old
+    expiry, however often the gateway restarts.
     """
 
     id: str
@@ -153,6 +154,7 @@
     operations: dict[str, OperationRecord] = field(default_factory=dict)
     leases: dict[str, LeaseRecord] = field(default_factory=dict)
     spent: dict[int, None] = field(default_factory=dict)
+    lease_s: float = 0.0  # the longest time for which one of the leases may have been promised; 0 if unknown
 
     def apply(self, payload: bytes) -> None:
         """Apply one record. Raises ValueError for an invalid record."""
@@ -176,6 +178,8 @@
                 self.token = token
                 for lease in self.leases.values():
                     lease.seen = False
+            case "lease", [seconds]:
+                self.lease_s = max(seconds, self.lease_s if self.leases else 0.0)
             case "spent", [keys]:
                 self.spent.update(dict.fromkeys(keys))
             case "probe", []:
@@ -262,6 +266,8 @@
     def snapshot_records(self) -> Iterator[bytes]:
         """Return a minimal list of records that folds to the same state."""
         yield encode("epoch", self.epoch, self.token, 0)
+        if self.lease_s:
+            yield encode("lease", self.lease_s)
         keys = list(self.spent)
         for start in range(0, len(keys), SPENT_PER_RECORD):
             yield encode("spent", keys[start : start + SPENT_PER_RECORD])
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -327,8 +327,6 @@
             listener = Listener(config.listen, self._share, self._accept)
             self.listener.close()
         self.listener, self._config = listener, config
-        self.bots.leases.timing, self._ledger.capacity, self._share.limit = (
-            config.timing,
-            config.remember,
-            config.connections,
-        )
+        self.bots.leases.reconfigure(config.timing)
+        self._ledger.capacity = config.remember
+        self._share.limit = config.connections
--- a/weldhatch/pullqueue/lease_dispatch.py
+++ b/weldhatch/pullqueue/lease_dispatch.py
@@ -117,6 +117,7 @@
                 break
             del bot.offered[lease.id]
             lease.phase = LeasePhase.PENDING
+            lease.expires = 0.0  # that of the offer ends here
             self._owner.extend_lease(lease)
             if self._ledger.record_handout(lease, self.settings.classes[lease.task.class_index]):
                 batch.newly_spent.add(lease.id)
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -486,6 +486,7 @@
         self._ledger.restore(state.spent, self._bots.leases.handed_out(), reserved_keys)
         for submission, task in resubmitted:
             self._request_again(submission, task)
+        self._bots.leases.store_lease_time()
         return restored_leases, len(resubmitted)
 
     def _restore_submission(self, stored: OperationRecord, placement: PlacementRequest) -> Submission:
