Store until when a new store settles: a second start forgot the wait

Cause: the wait went by whether the store was new at this start, which is known to the first run only. Change: the record of the first epoch holds settles_at, and every start goes by it.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -19,6 +19,7 @@
 
 ANSWER_SLACK_S = 0.5  # how long after its deadline an answer may come on a busy machine
 WAITING_CONNECTIONS = 30
+SETTLE_S = 1.5
 POLL_S = 0.3  # how long a machine waits for a lease that must not come
 
 
@@ -293,6 +294,31 @@
         await self.play(f"c2 send POST tasks | {body}\nc2 expect 200 answer=refused waitMs=0")
 
 
+class FirstStarts(KilledBetweenWrites):
+    """A gateway gets a store for the first time, and leases of the run before may still be out."""
+
+    timing: ClassVar = {**KilledBetweenWrites.timing, "settle": SETTLE_S}
+
+    async def test_a_second_start_within_the_settle_time_goes_on_waiting(self):
+        """Guards against two attempts at once: only the first start on a new store waited."""
+        started = time.monotonic()
+        for submitter in ("c1", "c2"):
+            await self.restart()
+            await self.play(f"""
+                {submitter} send POST operations | {task("keyed")}
+                {submitter} expect 200 metadata.state=REFUSED
+            """)
+        await asyncio.sleep(started + SETTLE_S - time.monotonic() + 0.1)
+        await self.play(f"c2 send POST operations | {task('keyed')}\nc2 expect 200 metadata.state=ASKED")
+
+    async def test_a_store_of_the_version_before_has_settled(self):
+        """Such a store does not tell when it settles; its first run did not hand out anything before."""
+        records = await self.stop_gateway()
+        [number, token, at] = json.loads(records[0])[1:4]
+        self.start_on([durable_state.encode("epoch", number, token, at)])
+        await self.play(f"c2 send POST operations | {task('keyed')}\nc2 expect 200 metadata.state=ASKED")
+
+
 class ShorterLeases(KilledBetweenWrites):
     """`timing.lease` is made shorter while a machine holds a lease that it was promised for longer."""
 
--- a/weldhatch/pullqueue/durable_state.py
+++ b/weldhatch/pullqueue/durable_state.py
@@ -3,7 +3,8 @@
 This module defines the records and folds them into the state; its callers write them. A record is a JSON list
 whose first item is its kind:
 
-    ["epoch", number, token, at]                    a run of the gateway begins
+    ["epoch", number, token, at, settles_at]        a run of the gateway begins; until settles_at (Unix s),
+                                                    leases of runs without this store may still run
     ["lease", seconds]                              for how long leases are promised from now on
     ["asked", name, fields, blob, meta]             a submission was received
     ["handed", lease, name, bot, place, attempt, at]
@@ -24,7 +25,7 @@
 
 A lease ends in one record, and what follows from its end (an answer, the end of the task, another attempt) is
 written later. Until then the end is kept with the submission, so that a gateway that starts in between
-continues from it. Records of earlier versions lack `at` and all of an end but the lease.
+continues from it. Records of earlier versions lack `at`, `settles_at` and all of an end but the lease.
 """
 
 from __future__ import annotations
@@ -154,6 +155,7 @@
     operations: dict[str, OperationRecord] = field(default_factory=dict)
     leases: dict[str, LeaseRecord] = field(default_factory=dict)
     spent: dict[int, None] = field(default_factory=dict)
+    settles_at: float = 0.0  # Unix seconds; 0 if the first run had nothing to wait for
     lease_s: float = 0.0  # the longest time for which one of the leases may have been promised; 0 if unknown
 
     def apply(self, payload: bytes) -> None:
@@ -173,9 +175,10 @@
     def _apply_run(self, kind: str, values: list[Any]) -> bool:
         """Apply a record that concerns the whole store; return False for any other."""
         match kind, values:
-            case "epoch", [number, token, _]:
+            case "epoch", [number, token, _, *rest]:
                 self.epoch = number
                 self.token = token
+                self.settles_at = rest[0] if rest else 0.0
                 for lease in self.leases.values():
                     lease.seen = False
             case "lease", [seconds]:
@@ -263,9 +266,14 @@
                 return False
         return True
 
+    def epoch_record(self, at: float) -> bytes:
+        """Return the record of this run, which began at `at` (Unix seconds)."""
+        settles = [self.settles_at] if self.settles_at else []
+        return encode("epoch", self.epoch, self.token, at, *settles)
+
     def snapshot_records(self) -> Iterator[bytes]:
         """Return a minimal list of records that folds to the same state."""
-        yield encode("epoch", self.epoch, self.token, 0)
+        yield self.epoch_record(0)
         if self.lease_s:
             yield encode("lease", self.lease_s)
         keys = list(self.spent)
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -59,8 +59,11 @@
         self.settings = settings  # the current settings
         self.endpoint_list = None  # build machines register themselves
         self.driver = Driver(policy, log)
+        settle_s = config.timing.settle
         self.storage = (
-            QueueStorage(config.store, time.time(), log) if config.store else NoStorage(time.time_ns())
+            QueueStorage(config.store, time.time(), log, settle_s)
+            if config.store
+            else NoStorage(time.time_ns(), settle_s)
         )
         ledger = self._ledger = KeyLedger(config.remember, "" if config.store else config.ledger)
         ledger.open()
--- a/weldhatch/pullqueue/storage.py
+++ b/weldhatch/pullqueue/storage.py
@@ -6,22 +6,27 @@
 from collections.abc import Callable
 
 from weldhatch.config import ConfigError
-from weldhatch.pullqueue.durable_state import QueueState, encode
+from weldhatch.pullqueue.durable_state import QueueState
 from weldhatch.store.folded import EpochStore, FoldedStore
 
 
 class QueueStorage(EpochStore):
     """The store of a pull queue in a folder, which one gateway at a time can open."""
 
-    def __init__(self, folder: str, now: float, log: Callable[[str], None]) -> None:
+    def __init__(self, folder: str, now: float, log: Callable[[str], None], settle_s: float = 0.0) -> None:
         """Open the folder and begin an epoch. `now`: Unix seconds.
 
+        In a folder that no gateway has used before, nothing may be handed out for `settle_s`, since leases of
+        a gateway without it may still run. That holds over restarts.
+
         Raises ConfigError if the folder can't be used, is locked by another gateway or has invalid records.
         """
         self.state = QueueState()
         try:
             store = FoldedStore(folder, "queue.log", "store", now, [self.state], log)
             self.is_first_run = self.state.epoch == 0  # whether no gateway has used the folder before
+            if self.is_first_run and settle_s:
+                self.state.settles_at = now + settle_s
             super().__init__(
                 store,
                 *self.begin_run(
@@ -38,7 +43,12 @@
         """Set the epoch, but do not apply its record: that would reset which leases the last run has seen."""
         self.state.epoch = epoch
         self.state.token = token
-        return encode("epoch", epoch, token, now)
+        return self.state.epoch_record(now)
+
+    @property
+    def settles_at(self) -> float:
+        """When leases that the store does not know have run out, in Unix seconds."""
+        return self.state.settles_at
 
     @property
     def epoch_name(self) -> str:
@@ -64,10 +74,13 @@
     """The replacement for a store if none is configured: nothing is written, nothing survives a restart."""
 
     write_error = ""
-    is_first_run = True
 
-    def __init__(self, now_ns: int) -> None:
-        """Use the time, in Unix nanoseconds, as the name of the epoch. Needs a running event loop."""
+    def __init__(self, now_ns: int, settle_s: float) -> None:
+        """Use the time, in Unix nanoseconds, as the name of the epoch. Needs a running event loop.
+
+        Each run begins without leases, so nothing may be handed out for `settle_s`.
+        """
+        self.settles_at = now_ns / 1e9 + settle_s
         self.state = QueueState()
         self.epoch_name = f"{now_ns:x}"
         self._done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -69,7 +69,6 @@
         self._by_request: dict[tuple[int, str], Submission] = {}
         self._ended: deque[str] = deque()
         self._serial = 0
-        self._started = bots.now()
         self._epoch = storage.epoch_name
         self.admission = AdmissionQueue(
             {n: max(tenant.portion, 0.001) for n, tenant in enumerate(settings.tenants)} or {0: 1.0}, queue
@@ -331,12 +330,9 @@
             case KeyRejection.IN_DOUBT:
                 wait_s = self._ledger.in_doubt_until(key) + self._bots.timing.grace - self._bots.now()
                 return self._refused_answer(KeyRejection.IN_DOUBT.value, max(0.0, wait_s) + 0.1)
-        # A store knows all leases of former runs, so only a gateway without an earlier store has to wait
-        # until leases that it doesn't know have expired.
-        if (
-            self._storage.is_first_run
-            and (left_s := self._started + self._bots.timing.settle - self._bots.now()) > 0
-        ):
+        # A store knows all leases of former runs that had it, so only a gateway without an earlier store has
+        # to wait until leases that it doesn't know have expired.
+        if (left_s := self._storage.settles_at - self._bots.now()) > 0:
             return self._refused_answer("leases of a former gateway may still run", left_s)
         if self._ledger.is_full_for(cls):
             raise HttpError(503, "class: no more tasks of this class can be remembered", "class")
