Extend a restored lease only once its first renewal is stored

Seen: by reading; a gateway that is killed within the write of "seen" leaves a machine that was told a later expiry than the next gateway counts by, and the key can go out beside it. Cause: the renewal was answered before its record was on the disk. Change: the lease is extended when the record is written; the update waits up to 50 ms for it.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -319,14 +319,22 @@
         await self.play(f"c2 send POST operations | {task('keyed')}\nc2 expect 200 metadata.state=ASKED")
 
 
-class ShorterLeases(KilledBetweenWrites):
-    """`timing.lease` is made shorter while a machine holds a lease that it was promised for longer."""
+class PromisedLeases(KilledBetweenWrites):
+    """A machine is never told a later expiry than the next gateway would know of."""
 
     def reconfigure(self, **timing):
         """Change durations of the running gateway, as a plan does."""
         config = self.gateway._config
         self.gateway.reconfigure(replace(config, timing=replace(config.timing, **timing)))
 
+    def hold_disk(self):
+        """Let the store's writes wait for the returned event."""
+        goes_on = threading.Event()
+        log = self.gateway.storage._store._log
+        append = log.append
+        log.append = lambda records: goes_on.wait(EVENT_TIMEOUT_S) and append(records)
+        return goes_on
+
     async def expiry_of(self, machine, text):
         """Send a machine's update; return the expiry of its lease, as it is told it, in Unix seconds."""
         await self.play(f"{machine} send {text}")
@@ -359,10 +367,7 @@
         await self.hand_out("keyed")
         await self.play(f"p1 send PATCH $session | {lease('ACTIVE')}\np1 expect 200")
         await self.gateway.storage.flush()
-        goes_on = threading.Event()
-        log = self.gateway.storage._store._log
-        append = log.append
-        log.append = lambda records: goes_on.wait(EVENT_TIMEOUT_S) and append(records)
+        goes_on = self.hold_disk()
         self.reconfigure(lease=300.0)
         renewal = f"PATCH $session | {lease('ACTIVE')}"
         self.assertLess(await self.expiry_of("p1", renewal) - time.time(), 100)
@@ -373,6 +378,23 @@
         [held] = self.gateway.bots.leases.handed_out()
         self.assertGreater(held.expires - time.time(), 200)
 
+    async def test_a_restored_lease_is_extended_only_once_its_renewal_is_stored(self):
+        """Guards against two attempts at once: the next gateway may know only of the old expiry."""
+        await self.hand_out("keyed")
+        await self.play(f"p1 send PATCH $session | {lease('ACTIVE')}\np1 expect 200")
+        await self.restart()
+        await self.restart()
+        [held] = self.gateway.bots.leases.handed_out()
+        known_expiry = held.expires
+        await self.gateway.storage.flush()
+        goes_on = self.hold_disk()
+        opened = f"POST botSessions | {self.session_body(held.id)}"
+        self.assertLessEqual(await self.expiry_of("p2", opened), known_expiry)
+        goes_on.set()
+        await self.gateway.storage.flush()
+        renewal = json.dumps({"leases": [{"id": held.id, "state": "ACTIVE"}]})
+        self.assertGreater(await self.expiry_of("p2", f"PATCH $session | {renewal}"), known_expiry)
+
 
 class SlowDisk(KilledBetweenWrites):
     """A gateway whose disk takes nothing until the test lets it go on."""
--- a/weldhatch/pullqueue/bot_leases.py
+++ b/weldhatch/pullqueue/bot_leases.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from weldhatch.config import PullQueueTiming
 from weldhatch.core import ports
@@ -26,6 +26,7 @@
 # google.rpc.Code with which a puller declines a lease before it starts the task: proof that nothing ran.
 DECLINE_REASONS = {8: Reason.UNSPECIFIED, 9: Reason.NOT_ACCEPTING}
 CODE_OK = 0
+CONFIRMATION_TIMEOUT_S = 0.05  # how long an update waits for a slow disk
 
 
 class BotLeases:
@@ -55,7 +56,8 @@
         self._log = log
         self._now = now
         self.by_id: dict[str, Lease] = {}
-        self._unconfirmed: set[str] = set()  # restored leases that their machines have not renewed yet
+        self._unconfirmed: set[str] = set()  # restored leases whose first renewal is not stored yet
+        self._confirmations: dict[str, asyncio.Future[None]] = {}  # first renewals that are being stored
 
     def reconfigure(self, timing: PullQueueTiming) -> None:
         """Replace the durations. Leases that machines were promised for longer keep their expiry."""
@@ -86,6 +88,7 @@
         lease.phase = LeasePhase.ENDED
         self._registry.by_machine[lease.machine].remove(lease)
         self.by_id.pop(lease.id, None)
+        self._unconfirmed.discard(lease.id)
         self._deadlines.drop(("lease", lease.id))
         self._ledger.end(lease)
         self._storage.append_with_retry(end.encode(lease.id))
@@ -122,15 +125,34 @@
         return to_end
 
     def _renew(self, bot: Bot, lease: Lease) -> None:
-        self.extend_lease(lease)
         if lease.id in self._unconfirmed:
-            self._unconfirmed.discard(lease.id)
-            self._storage.append_with_retry(durable_state.encode("seen", lease.id))
+            self._confirm(lease)
+        else:
+            self.extend_lease(lease)
         if lease.phase is LeasePhase.PENDING:
             lease.phase = LeasePhase.ACTIVE
             self._storage.append_with_retry(durable_state.encode("running", lease.id))
             lease.receiver.deliver(Answered(lease.attempt, bot.id))
 
+    def _confirm(self, lease: Lease) -> None:
+        """Extend a restored lease once its first renewal is stored, since the next run goes by that."""
+        if lease.id not in self._confirmations:
+            written = self._storage.append_with_retry(durable_state.encode("seen", lease.id))
+            self._confirmations[lease.id] = written
+            written.add_done_callback(lambda _: self._on_confirmed(lease))
+
+    def _on_confirmed(self, lease: Lease) -> None:
+        del self._confirmations[lease.id]
+        self._unconfirmed.discard(lease.id)
+        if lease.phase in (LeasePhase.PENDING, LeasePhase.ACTIVE):
+            self.extend_lease(lease)
+
+    async def wait_for_confirmations(self, ids: Iterable[str]) -> None:
+        """Wait a moment for first renewals of these leases to be stored, so that the answer shows them."""
+        pending = [self._confirmations[id] for id in ids if id in self._confirmations]
+        if pending:
+            await asyncio.wait(pending, timeout=CONFIRMATION_TIMEOUT_S)
+
     def _finish(self, lease: Lease, entry: ReportedLease) -> None:
         """End a lease that its puller reports as completed or cancelled."""
         payload_of(lease.task).on_result(entry.result, entry.message)
