Store a submission with its next lease if the first write failed

Seen: by reading; a hand-out fails on a full disk, the next one succeeds, the gateway is killed: the lease is not restored and its key is free while its task may run. Cause: a submission was noted as stored when its record was made, also where the write failed. Change: a failed write takes the note back. Evidence: the new test fails on the commit before (the store has the lease alone) and passes now.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -15,7 +15,7 @@
 from test_recovery import StoredQueueScenario
 
 from weldhatch.pullqueue import durable_state
-from weldhatch.store.log import MAGIC, encode_record, read_records
+from weldhatch.store.log import MAGIC, LogError, encode_record, read_records
 
 ANSWER_SLACK_S = 0.5  # how long after its deadline an answer may come on a busy machine
 WAITING_CONNECTIONS = 30
@@ -543,6 +543,39 @@
         self.assertEqual({b"HTTP/1.1 200 OK"}, {answer.partition(b"\r\n")[0] for answer in answers})
 
 
+class FullDisk(KilledBetweenWrites):
+    async def test_a_submission_whose_first_hand_out_could_not_be_written_is_stored_with_the_next(self):
+        """Guards against a lease in the store without its submission, which no restart can restore."""
+        log = self.gateway.storage._store._log
+        append = log.append
+        failures = []
+
+        def fail_once(records):
+            if not failures and any(json.loads(record)[0] == "handed" for record in records):
+                failures.append(records)
+                raise LogError("No space left on device")
+            append(records)
+
+        log.append = fail_once
+        await self.play(f"""
+            p1 send POST botSessions | {bot("b1")}
+            p1 expect 200
+            p1 send PATCH $session X-Server-Timeout=9 | {{}}
+            c1 send POST tasks | {task("keyed")}
+            p1 expect 200 leases=[]
+        """)
+        await self.until(lambda: not self.gateway.storage.write_error, "the store accepts records again")
+        await self.play("""
+            p1 send PATCH $session X-Server-Timeout=9 | {}
+            p1 expect 200 leases.0.state=PENDING
+        """)
+        held = self.parties["p1"].seen["lease"]
+        self.assertEqual(1, len(failures))
+        await self.kill_after("handed")
+        self.assertEqual([held], [one.id for one in self.gateway.bots.leases.handed_out()])
+        await self.play(f"c2 send POST operations | {task('keyed')}\nc2 expect 409")
+
+
 class EveryPrefix(KilledBetweenWrites):
     async def test_no_prefix_of_the_store_starts_an_unsafe_task_twice(self):
         """Guards every moment at which the gateway can be killed while a task is handed out and runs.
--- a/weldhatch/pullqueue/lease_dispatch.py
+++ b/weldhatch/pullqueue/lease_dispatch.py
@@ -16,7 +16,7 @@
 from weldhatch.pullqueue.errors import HttpError
 from weldhatch.pullqueue.http import Request
 from weldhatch.pullqueue.leases import KeyLedger, Lease, LeasePhase
-from weldhatch.pullqueue.machines import Bot, payload_of
+from weldhatch.pullqueue.machines import Bot, LeasePayload, payload_of
 from weldhatch.pullqueue.storage import NoStorage, QueueStorage
 from weldhatch.scheduling.types import Outcome, Settings
 from weldhatch.store.log import LogError
@@ -49,6 +49,7 @@
     leases: list[Lease] = field(default_factory=list)
     records: list[bytes] = field(default_factory=list)
     newly_spent: set[str] = field(default_factory=set)  # ids of leases whose keys become spent by this batch
+    newly_recorded: list[LeasePayload] = field(default_factory=list)  # those with their first records in it
 
 
 class LeaseDispatcher:
@@ -89,6 +90,8 @@
         try:
             await self._storage.append(*batch.records)
         except LogError:
+            for payload in batch.newly_recorded:
+                payload.forget_first_records()
             for lease in batch.leases:
                 if lease.phase is not LeasePhase.ENDED:
                     self._ledger.undo_handout(lease, lease.id in batch.newly_spent)
@@ -122,7 +125,9 @@
             if self._ledger.record_handout(lease, self.settings.classes[lease.task.class_index]):
                 batch.newly_spent.add(lease.id)
                 batch.records.append(durable_state.encode("spent", [lease.task.key]))
-            batch.records += payload.first_records()
+            if first_records := payload.first_records():
+                batch.newly_recorded.append(payload)
+                batch.records += first_records
             batch.records.append(self._handout_record(bot, lease))
             batch.leases.append(lease)
         return batch
--- a/weldhatch/pullqueue/machines.py
+++ b/weldhatch/pullqueue/machines.py
@@ -23,6 +23,7 @@
     blob: str  # the submitter's description of the task
     on_result: Callable[[object, str], None] = lambda result, message: None
     first_records: Callable[[], tuple[bytes, ...]] = tuple  # to be stored before the first lease is sent
+    forget_first_records: Callable[[], None] = lambda: None  # called if they could not be written
 
 
 def payload_of(task: ports.Task) -> LeasePayload:
--- a/weldhatch/pullqueue/submission.py
+++ b/weldhatch/pullqueue/submission.py
@@ -102,6 +102,10 @@
         """Set the result and message that the machine reported with the end of a lease."""
         self.result, self.message = result, message
 
+    def forget_record(self) -> None:
+        """Have the submission stored again with its next lease: its record could not be written."""
+        self.recorded = False
+
     # ---- answer and end ------------------------------------------------------------------------------------
 
     def _set_answer(self, answer: dict) -> None:
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -191,7 +191,11 @@
         if request_id:
             self._by_request[placement.tenant, request_id] = submission
         payload = LeasePayload(
-            placement, blob, submission.set_result, lambda: self._first_record(submission, blob)
+            placement,
+            blob,
+            submission.set_result,
+            lambda: self._first_record(submission, blob),
+            submission.forget_record,
         )
         task = self._task(submission.name, placement, deadline, payload, form.requirements)
         ticket = Ticket(placement.tenant, deadline, now, placement.again)
