Take a key back in the store too when its stored hand-out was not sent

Seen: by reading; a memory-writer's key whose lease never left is answered failed for ever after a start. Cause: the hand-out was taken back in memory and for the lease, and "spent" stayed in the store. Change: the record "unspent". Evidence: the test of a lease that was not sent goes on over a restart; it fails without the change (FAILED in place of ASKED) and passes with it.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -247,6 +247,8 @@
         await self.gateway.storage.flush()
         assert not self.gateway._ledger._leased and not self.gateway._ledger._spent
         assert not self.gateway.storage.state.leases
+        await self.restart()  # nor is the key spent for the next gateway
+        await self.play(f"c2 send POST operations | {task('unsafe')}\nc2 expect 200 metadata.state=ASKED")
 
 
 class StoreFaults(StoredQueueScenario):
--- a/weldhatch/pullqueue/durable_state.py
+++ b/weldhatch/pullqueue/durable_state.py
@@ -22,6 +22,7 @@
     ["end", name, state, cause, result]             the task of a submission has ended
     ["drop", name]                                  a submission is no longer kept, once its lease has ended
     ["spent", keys]                                 keys of tasks that must not be handed out again
+    ["unspent", keys]                               keys that were spent by leases which were not handed out
 
 A lease ends in one record, and what follows from its end (an answer, the end of the task, another attempt) is
 written later. Until then the end is kept with the submission, so that a gateway that starts in between
@@ -185,6 +186,9 @@
                 self.lease_s = max(seconds, self.lease_s if self.leases else 0.0)
             case "spent", [keys]:
                 self.spent.update(dict.fromkeys(keys))
+            case "unspent", [keys]:
+                for key in keys:
+                    self.spent.pop(key, None)
             case "probe", []:
                 pass
             case _:
--- a/weldhatch/pullqueue/lease_dispatch.py
+++ b/weldhatch/pullqueue/lease_dispatch.py
@@ -153,7 +153,7 @@
                 continue
             self._log(f"lease {lease.id} stays: {reason}")
             if lease.phase is LeasePhase.PENDING:
-                self._ledger.undo_handout(lease, lease.id in newly_spent)
+                self._undo_stored_handout(lease, lease.id in newly_spent)
             self._owner.end_lease(lease, LeaseEnd(Outcome.NOT_SENT))
         return permitted
 
@@ -166,7 +166,7 @@
         for lease in batch.leases:
             if lease.phase not in (LeasePhase.PENDING, LeasePhase.CANCELLED):
                 continue
-            self._ledger.undo_handout(lease, lease.id in batch.newly_spent)
+            self._undo_stored_handout(lease, lease.id in batch.newly_spent)
             self._storage.append_with_retry(durable_state.encode("back", lease.id))
             if lease.phase is LeasePhase.CANCELLED:
                 self._owner.end_lease(lease, LeaseEnd(Outcome.NOT_SENT, CAUSE_CANCELLED))
@@ -177,6 +177,12 @@
             bot.offered[lease.id] = lease
         bot.changed.set()
 
+    def _undo_stored_handout(self, lease: Lease, newly_spent: bool) -> None:
+        """Undo the hand-out of a lease's key in the ledger and in the store."""
+        self._ledger.undo_handout(lease, newly_spent)
+        if newly_spent:
+            self._storage.append_with_retry(durable_state.encode("unspent", [lease.task.key]))
+
     def _handout_json(self, bot: Bot, lease: Lease) -> dict[str, Any]:
         """Return a new lease as JSON; workers of an earlier API version get the payload inline too."""
         payload = self._payload_json(lease)
