Never write to a log file that a rewrite has replaced

Cause: the new file was taken over only after the sync of the folder. Change: it is taken over right after the rename; without the sync, appends are refused until a rewrite succeeds. Evidence: the new test fails without the change (no error, and "more" is missing from the file) and passes with it.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -137,6 +137,25 @@
     assert read_records(path) == [b"short", b"more"]
 
 
+def test_nothing_is_written_to_the_old_file_after_a_rewrite_whose_folder_was_not_synced(path, monkeypatch):
+    """Guards against records that are confirmed and gone at the next start: the old file has no name."""
+    log, _ = open_log(path, FailingDisk())
+
+    def refuse(folder):
+        raise OSError(errno.EIO, "Input/output error")
+
+    with monkeypatch.context() as patched:
+        patched.setattr("weldhatch.store.log._sync_folder", refuse)
+        with pytest.raises(LogError, match="the folder did not confirm"):
+            log.rewrite([b"short"])
+    with pytest.raises(LogError, match="open the log anew"):
+        log.append([b"more"])
+    log.rewrite([b"short"])
+    log.append([b"more"])
+    log.close()
+    assert read_records(path) == [b"short", b"more"]
+
+
 def test_the_error_names_a_log_that_can_not_be_opened(tmp_path):
     with pytest.raises(LogError, match="no-such"):
         Log(tmp_path / "no-such" / "log")
--- a/weldhatch/store/log.py
+++ b/weldhatch/store/log.py
@@ -260,7 +260,11 @@
             self._broken = f"half a record could not be taken back ({error.strerror})"
 
     def rewrite(self, payloads: Iterable[bytes]) -> None:
-        """Atomically replace all records of the log with these. After a LogError the log is unchanged."""
+        """Atomically replace all records of the log with these.
+
+        Raises LogError. The log is unchanged then, unless only the folder could not be synced: the new file
+        may be lost with a power failure, so appends are rejected until a rewrite succeeds.
+        """
         payloads = list(payloads)
         new_path = f"{self.path}.new"
         data = MAGIC + b"".join(encode_record(n, payload) for n, payload in enumerate(payloads, 1))
@@ -276,11 +280,15 @@
             os.close(handle)
             Path(new_path).unlink(missing_ok=True)
             raise LogError(f"{new_path}: {error.strerror}; the log is unchanged") from None
-        _sync_folder(self.path)
         os.close(self._handle)
         self._handle = handle
         self.length = len(data)
         self.count = len(payloads)
+        try:
+            _sync_folder(self.path)
+        except OSError as error:
+            self._broken = f"the folder did not confirm the new file ({error.strerror})"
+            raise LogError(f"{self.path}: {self._broken}") from None
         self._broken = ""
 
     def close(self) -> None:
