Refuse a result that is nested too deep for the store to read back

Cause: the record nests it deeper than the update did, so that the reader's limit is met at the start only. A record that can't be read is named. Evidence: the new test fails without the limit (200 at 101 and 950 levels) and passes with it.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -14,7 +14,7 @@
 from test_pullqueue import bot, lease, task
 from test_recovery import StoredQueueScenario
 
-from weldhatch.pullqueue import durable_state
+from weldhatch.pullqueue import durable_state, reports
 from weldhatch.store.log import MAGIC, LogError, encode_record, read_records
 
 ANSWER_SLACK_S = 0.5  # how long after its deadline an answer may come on a busy machine
@@ -543,6 +543,20 @@
         self.assertEqual({b"HTTP/1.1 200 OK"}, {answer.partition(b"\r\n")[0] for answer in answers})
 
 
+class RefusedRecords(KilledBetweenWrites):
+    async def test_a_result_that_the_store_could_not_read_back_is_refused(self):
+        """Guards against a store that no start can read: its record was nested too deep."""
+        await self.hand_out("unsafe")
+        held = self.parties["p1"].seen["lease"]
+        for depth, code in ((reports.MAX_RESULT_DEPTH, 200), (reports.MAX_RESULT_DEPTH + 1, 400), (950, 400)):
+            result = '{"x":' + "[" * (depth - 1) + "]" * (depth - 1) + "}"
+            await self.play(
+                f'p1 send PATCH $session | {{"leases": [{{"id": "{held}", "state": "ACTIVE", '
+                f'"result": {result}}}]}}\n'
+                f"p1 expect {code}"
+            )
+
+
 class FullDisk(KilledBetweenWrites):
     async def test_a_submission_whose_first_hand_out_could_not_be_written_is_stored_with_the_next(self):
         """Guards against a lease in the store without its submission, which no restart can restore."""
--- a/weldhatch/pullqueue/durable_state.py
+++ b/weldhatch/pullqueue/durable_state.py
@@ -170,7 +170,7 @@
             )
             if not known:
                 raise ValueError(kind)
-        except (ValueError, TypeError, KeyError, IndexError) as error:
+        except (ValueError, TypeError, KeyError, IndexError, RecursionError) as error:
             raise ValueError(f"invalid record {payload[:80]!r}: {error!r}") from None
 
     def _apply_run(self, kind: str, values: list[Any]) -> bool:
--- a/weldhatch/pullqueue/reports.py
+++ b/weldhatch/pullqueue/reports.py
@@ -10,6 +10,7 @@
 
 MAX_REPORTED_LEASES = 1000  # in one update
 MAX_RESULT_BYTES = 8 * 1024  # size limit of a task's result as JSON
+MAX_RESULT_DEPTH = 100  # nesting limit of a task's result; the store must be able to read it back
 STATUSES = {
     "OK": MachineState.READY,
     "INITIALIZING": MachineState.DRAINING,
@@ -52,6 +53,19 @@
     return STATUSES[status]
 
 
+def _is_nested_within(value: object, max_depth: int) -> bool:
+    """Return whether a JSON value has at most this many levels of objects and lists."""
+    level = [value]
+    for _ in range(max_depth + 1):
+        containers = [item for item in level if isinstance(item, dict | list)]
+        if not containers:
+            return True
+        level = [
+            child for item in containers for child in (item.values() if isinstance(item, dict) else item)
+        ]
+    return False
+
+
 def read_reported_leases(tree: dict) -> list[ReportedLease]:
     """Read the leases of a report. Raises HttpError naming the field."""
     entries = tree.get("leases") or []
@@ -88,5 +102,11 @@
                 f"{field}.result: an object of at most {MAX_RESULT_BYTES} bytes is needed",
                 f"{field}.result",
             )
+        if not _is_nested_within(result, MAX_RESULT_DEPTH):
+            raise HttpError(
+                400,
+                f"{field}.result: at most {MAX_RESULT_DEPTH} nested levels are taken",
+                f"{field}.result",
+            )
         reported.append(ReportedLease(entry["id"], entry["state"], code, message, result))
     return reported
