Tell every writer of a batch that it is written, whatever the state says of a record

Seen: by reading (an open entry of the roadmap): a record that the state refuses leaves the writers after it waiting for ever. Cause: an exception left the loop that applies records and tells their writers. Change: it is logged, and the loop goes on. Evidence: the new test fails without the change (time-out) and passes with it.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -556,6 +556,14 @@
                 f"p1 expect {code}"
             )
 
+    async def test_a_record_that_does_not_fit_the_state_keeps_no_other_writer_waiting(self):
+        """Guards against submissions that wait for ever for a write which has long been done."""
+        storage = self.gateway.storage
+        written = [storage.append(record) for record in (b"[]", durable_state.encode("spent", [7]))]
+        await asyncio.wait_for(asyncio.gather(*written), EVENT_TIMEOUT_S)
+        self.assertIn(7, storage.state.spent)
+        self.assertIn("does not fit the state", " ".join(self.logged))
+
 
 class FullDisk(KilledBetweenWrites):
     async def test_a_submission_whose_first_hand_out_could_not_be_written_is_stored_with_the_next(self):
--- a/weldhatch/store/commit.py
+++ b/weldhatch/store/commit.py
@@ -111,7 +111,11 @@
             self._log_line("store: the disk accepts records again")
         self.write_error = ""
         for entry in batch:
-            self._on_written(entry.payload)
+            try:
+                self._on_written(entry.payload)
+            except Exception as error:
+                # The record is on the disk, and no writer may wait for ever because of another's record.
+                self._log_line(f"store: a written record does not fit the state: {error!r}")
             entry.resolve()
         self._on_batch()
 
