Report a task as lost whose machine renewed its lease after the expiry

Seen: a machine renews within the grace period after the expiry, is told to stop, and reports CANCELLED: the submission stays PLACED and its key is refused with 409 until the next start. Cause: a cancelled lease always ended as one that its owner had cancelled, and an owner is not told of its own cancel. Change: a cancelled lease keeps the cause of its end, also in the record "stop".

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -543,6 +543,43 @@
         self.assertEqual({b"HTTP/1.1 200 OK"}, {answer.partition(b"\r\n")[0] for answer in answers})
 
 
+class LateRenewals(KilledBetweenWrites):
+    """A machine renews its lease after the expiry, and is told to stop."""
+
+    timing: ClassVar = {"lease": 0.6, "grace": 5, "session": 60, "pickup": 1, "poll": 0.3, "settle": 0}
+
+    async def renew_late(self):
+        _, name = await self.place_task("keyed")
+        [held] = self.gateway.bots.leases.handed_out()
+        await self.until(lambda: time.time() > held.expires, "the lease has expired")
+        await self.play(f"""
+            p1 send PATCH $session | {lease("ACTIVE")}
+            p1 expect 200 leases.0.state=CANCELLED
+        """)
+        return held.id, name
+
+    async def check_lost(self, name):
+        await self.play(f"""
+            c2 send GET {name}
+            c2 expect 200 state=LOST
+            c2 send POST operations | {task("keyed")}
+            c2 expect 200 metadata.state=ASKED
+        """)
+
+    async def test_a_task_that_was_told_to_stop_after_its_expiry_is_lost(self):
+        """Guards against a task that stays PLACED, and its key refused, after its machine has stopped it."""
+        _, name = await self.renew_late()
+        await self.play(f"p1 send PATCH $session | {lease('CANCELLED')}\np1 expect 200 leases=[]")
+        await self.check_lost(name)
+
+    async def test_a_task_that_was_told_to_stop_after_its_expiry_is_lost_after_a_kill(self):
+        """Guards against the same for a lease that the next gateway restores."""
+        held, name = await self.renew_late()
+        await self.kill_after("stop")
+        await self.play(f"p2 send POST botSessions | {self.session_body(held, 'CANCELLED')}\np2 expect 200")
+        await self.check_lost(name)
+
+
 class RefusedRecords(KilledBetweenWrites):
     async def test_a_result_that_the_store_could_not_read_back_is_refused(self):
         """Guards against a store that no start can read: its record was nested too deep."""
--- a/weldhatch/pullqueue/bot_leases.py
+++ b/weldhatch/pullqueue/bot_leases.py
@@ -119,7 +119,7 @@
             elif lease.phase is LeasePhase.CANCELLED or now >= lease.expires:
                 # A renewal after the expiry is rejected: the puller had to stop the task at the expiry, and
                 # the task may be placed elsewhere as soon as the grace period is over.
-                self._cancel(lease)
+                self._cancel(lease, CAUSE_LOST)
             elif entry.state == "ACTIVE":
                 self._renew(bot, lease)
         return to_end
@@ -162,7 +162,7 @@
 
         succeeded = entry.state == "COMPLETED" and entry.code == CODE_OK
         if lease.phase is LeasePhase.CANCELLED:
-            end(Outcome.CANCELLED, CAUSE_CANCELLED)
+            end(Outcome.CANCELLED, lease.stop_cause)
         elif lease.phase is LeasePhase.ACTIVE:
             end(Outcome.OK, CAUSE_FINISHED) if succeeded else end(Outcome.RESET)
         elif succeeded:  # a short task whose start and end are in the same report
@@ -205,8 +205,9 @@
         lease = Lease(record.id, bot.machine, task, 0, NullReceiver(), phase)
         self.by_id[lease.id] = lease
         bot.add(lease)
-        if record.stopping:
+        if record.stop_cause:
             lease.phase = LeasePhase.CANCELLED
+            lease.stop_cause = record.stop_cause
             bot.stopping[lease.id] = lease
         lease.expires = self._now() + max(self.timing.lease, self._storage.state.lease_s)
         if not record.seen and record.until:
@@ -262,13 +263,13 @@
             self.by_id.pop(lease.id, None)
             self._deadlines.drop(("lease", lease.id))
             return GiveUpResult.WITHDRAWN
-        self._cancel(lease)
+        self._cancel(lease, CAUSE_CANCELLED)
         return GiveUpResult.STILL_OPEN
 
     def release(self, machine: int, task: ports.Task, cause: int) -> None:
         """Cancel a running task; its end is still delivered."""
         if lease := self._lease_of(machine, task):
-            self._cancel(lease)
+            self._cancel(lease, CAUSE_CANCELLED)
 
     def move(self, machine: int, task: ports.Task) -> None:
         """Cancel a running task that is to be placed elsewhere."""
@@ -289,10 +290,14 @@
         bot = self._registry.by_machine.get(machine)
         return bot.by_task.get(id(task)) if bot else None
 
-    def _cancel(self, lease: Lease) -> None:
-        """Cancel a lease at its puller's next update; the lease ends when the puller confirms that."""
-        if lease.phase is not LeasePhase.CANCELLED:
-            self._storage.append_with_retry(durable_state.encode("stop", lease.id))
+    def _cancel(self, lease: Lease, cause: int) -> None:
+        """Cancel a lease at its puller's next update; the lease ends when the puller confirms that.
+
+        `cause`: that of its end. If the lease is cancelled twice, an end by its owner counts.
+        """
+        if lease.stop_cause not in (cause, CAUSE_CANCELLED):
+            lease.stop_cause = cause
+            self._storage.append_with_retry(durable_state.encode("stop", lease.id, cause))
         lease.phase = LeasePhase.CANCELLED
         bot = self._registry.by_machine[lease.machine]
         bot.stopping[lease.id] = lease
--- a/weldhatch/pullqueue/durable_state.py
+++ b/weldhatch/pullqueue/durable_state.py
@@ -13,7 +13,8 @@
     ["back", lease]                                 the lease was not handed out after all
     ["running", lease]                              the machine has started the task of the lease
     ["seen", lease]                                 the machine has renewed the lease: once an epoch
-    ["stop", lease]                                 the machine must stop the task of the lease
+    ["stop", lease, cause]                          the machine must stop the task of the lease, which then
+                                                    ends with this cause
     ["until", lease, expires]                       a starting gateway counts the lease as leased until then
     ["over", lease, outcome, cause, result, message]
                                                     the lease has ended: what the core and the submitter are
@@ -67,7 +68,7 @@
     place: list[Any]
     attempt: int
     running: bool = False
-    stopping: bool = False
+    stop_cause: int = 0  # cause of the end of a lease that must stop; 0 for one that goes on
     seen: bool = True
     until: float = 0.0
     at: int = 0  # Unix us of the hand-out; 0 if unknown
@@ -207,9 +208,9 @@
                     lease.running = True
                     lease.seen = True
                     lease.until = 0.0
-            case "stop", [id]:
+            case "stop", [id, cause]:
                 if lease := self.leases.get(id):
-                    lease.stopping = True
+                    lease.stop_cause = cause
             case "seen", [id]:
                 if lease := self.leases.get(id):
                     lease.seen = True
@@ -306,8 +307,8 @@
         yield encode("handed", lease.id, lease.operation, lease.bot, lease.place, lease.attempt, lease.at)
         if lease.running:
             yield encode("running", lease.id)
-        if lease.stopping:
-            yield encode("stop", lease.id)
+        if lease.stop_cause:
+            yield encode("stop", lease.id, lease.stop_cause)
 
     @property
     def snapshot_size(self) -> int:
--- a/weldhatch/pullqueue/leases.py
+++ b/weldhatch/pullqueue/leases.py
@@ -38,6 +38,7 @@
     receiver: ports.Receiver
     phase: LeasePhase = LeasePhase.OFFERED
     expires: float = 0.0  # Unix seconds
+    stop_cause: int = 0  # cause of the end, once the lease is cancelled
 
 
 class KeyRejection(Enum):
