Stop a restored lease whose submission is over, and store a cancel before its answer

Seen: by going through the writes: a gateway that is killed between the records "end" and "stop" of a cancelled task leaves the lease running; one that is killed before "end" forgets a cancel that was answered with 200. Cause: a cancel is two records, and its answer waited for neither. Change: a restored lease whose submission is over is stopped in any case. The answer to a cancel or a deletion waits for the record of the end, up to 50 ms.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from datetime import datetime
 from typing import ClassVar
+from unittest import mock
 
 from scenario import EVENT_TIMEOUT_S
 from test_pullqueue import bot, lease, task
@@ -20,6 +21,7 @@
 ANSWER_SLACK_S = 0.5  # how long after its deadline an answer may come on a busy machine
 WAITING_CONNECTIONS = 30
 SETTLE_S = 1.5
+SLOW_WRITE_S = 0.3
 POLL_S = 0.3  # how long a machine waits for a lease that must not come
 
 
@@ -260,6 +262,34 @@
         """)
         await self.check_stopped("stop")
 
+    async def test_a_cancelled_task_is_stopped_although_only_its_end_was_written(self):
+        """Guards against the same where the gateway dies before it has written that the lease is to stop."""
+        name = await self.hand_out("keyed")
+        await self.play(f"""
+            p1 send PATCH $session | {lease("ACTIVE")}
+            p1 expect 200
+            c1 send POST {name}:cancel | {{}}
+            c1 expect 200 metadata.state=CANCELLED
+        """)
+        await self.check_stopped("end")
+
+    async def test_a_cancel_is_answered_once_it_is_stored(self):
+        """Guards against a cancel that was answered and is unknown to the next gateway."""
+        name = await self.hand_out("keyed")
+        await self.play(f"p1 send PATCH $session | {lease('ACTIVE')}\np1 expect 200")
+        log = self.gateway.storage._store._log
+        append = log.append
+
+        def append_slowly(records):
+            time.sleep(SLOW_WRITE_S)
+            append(records)
+
+        log.append = append_slowly
+        with mock.patch("weldhatch.pullqueue.submission.MAX_WRITE_WAIT_S", EVENT_TIMEOUT_S):
+            await self.play(f"c1 send POST {name}:cancel | {{}}\nc1 expect 200 metadata.state=CANCELLED")
+        [operation] = self.gateway.storage.state.operations.values()
+        self.assertEqual("CANCELLED", operation.state)
+
     async def test_a_task_whose_submitter_was_answered_failed_is_stopped_by_the_next_gateway(self):
         """Guards against a task that runs on after its deadline was answered with `failed` and a kill."""
         name = await self.hand_out("keyed", left=300)
--- a/weldhatch/pullqueue/front.py
+++ b/weldhatch/pullqueue/front.py
@@ -237,11 +237,11 @@
             case "GET", "tasks", True, _:
                 return await self.tasks.get(path, request), {}
             case "DELETE", "tasks", True, _:
-                return self.tasks.delete(path, request.caller), {}
+                return await self.tasks.delete(path, request.caller), {}
             case "POST", "operations:batchSubmit", _, _:
                 return await self._take_submissions(self.operations.batch_submit, request)
             case "POST", "operations:batchCancel", _, _:
-                return self.operations.batch_cancel(request), {}
+                return await self.operations.batch_cancel(request), {}
             case "POST", "operations", False, _:
                 return await self._take_submissions(self.operations.submit, request)
             case "GET", "operations", False, _:
@@ -253,7 +253,7 @@
             case "POST", "operations", True, "wait":
                 return await self.operations.wait(f"operations/{name}", request), {}
             case "POST", "operations", True, "cancel":
-                return self.operations.cancel(f"operations/{name}", request), {}
+                return await self.operations.cancel(f"operations/{name}", request), {}
             case "DELETE", "operations", True, "" if not colon:
                 return self.operations.delete(path, request), {}
             case _, "botSessions" | "tasks" | "operations", _, _:
--- a/weldhatch/pullqueue/operations.py
+++ b/weldhatch/pullqueue/operations.py
@@ -57,14 +57,17 @@
             raise
         return {"responses": result}, {}
 
-    def batch_cancel(self, request: Request) -> dict:
+    async def batch_cancel(self, request: Request) -> dict:
         """Cancel several operations, each with an operation or an error of its own in the answer."""
-        result = []
+        result: list[dict] = []
+        submissions: list[Submission] = []
         for name in self._entries(request.json(), "names", str):
             try:
-                result.append({"operation": self.cancel(name, request)})
+                submissions.append(self._cancel(name, request))
+                result.append({"operation": self.operation_json(submissions[-1])})
             except HttpError as fault:
                 result.append(fault.body())
+        await asyncio.gather(*(submission.wait_until_end_stored() for submission in submissions))
         return {"responses": result}
 
     @staticmethod
@@ -130,11 +133,16 @@
             await asyncio.wait_for(submission.over.wait(), min(float(match[1]), MAX_WAIT_S))
         return self.operation_json(submission)
 
-    def cancel(self, name: str, request: Request) -> dict:
+    async def cancel(self, name: str, request: Request) -> dict:
         """Cancel an operation; return it."""
+        submission = self._cancel(name, request)
+        await submission.wait_until_end_stored()
+        return self.operation_json(submission)
+
+    def _cancel(self, name: str, request: Request) -> Submission:
         submission = self._find(name, request)
         self._tasks.cancel(submission)
-        return self.operation_json(submission)
+        return submission
 
     def delete(self, name: str, request: Request) -> dict:
         """Remove an operation that is over. A pending or running one is rejected: cancel it first."""
--- a/weldhatch/pullqueue/submission.py
+++ b/weldhatch/pullqueue/submission.py
@@ -11,6 +11,8 @@
 from weldhatch.pullqueue import durable_state
 from weldhatch.pullqueue.admission import Ticket
 
+MAX_WRITE_WAIT_S = 0.05  # how long an answer waits for a disk that is slow or does not accept writes
+
 
 class SubmissionOwner(Protocol):
     """The keeper of submissions and their records."""
@@ -42,6 +44,7 @@
         self.message = ""
         self.bot = ""
         self.recorded = False
+        self._end_written: asyncio.Future[None] | None = None
         self.retry_is_unsafe = False  # an attempt may have run, and a retry might start the task once more
 
     # ---- implements the core's owner -----------------------------------------------------------------------
@@ -115,8 +118,7 @@
             self._deliver_answer(answer)
         else:
             written.add_done_callback(lambda _: self._deliver_answer(answer))
-            # Limits the delay of the final answer if the disk is slow or does not accept writes.
-            asyncio.get_running_loop().call_later(0.05, self._deliver_answer, answer)
+            asyncio.get_running_loop().call_later(MAX_WRITE_WAIT_S, self._deliver_answer, answer)
 
     def _deliver_answer(self, answer: dict) -> None:
         if not self.answer.done():
@@ -131,10 +133,16 @@
         self.state = state or self.state
         self.over.set()
         if state:
-            self._owner.record(self, durable_state.encode("end", self.name, state, self.cause, self.result))
+            end = durable_state.encode("end", self.name, state, self.cause, self.result)
+            self._end_written = self._owner.record(self, end)
         self._notify_change()
         self._owner.on_end(self)
 
+    async def wait_until_end_stored(self) -> None:
+        """Wait until the end of the submission is on the disk, but not long."""
+        if self._end_written is not None:
+            await asyncio.wait([self._end_written], timeout=MAX_WRITE_WAIT_S)
+
     def restore(self, record: durable_state.OperationRecord) -> None:
         """Restore the state that a former run of the gateway stored."""
         self.state, self.cause, self.result, self.recorded = record.state, record.cause, record.result, True
--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -17,7 +17,7 @@
 from random import Random
 
 from weldhatch.core import ports
-from weldhatch.core.messages import CAUSE_FINISHED, CAUSE_LOST, GivenUp, Released
+from weldhatch.core.messages import CAUSE_CANCELLED, CAUSE_FINISHED, CAUSE_LOST, GivenUp, Released
 from weldhatch.core.policy_driver import unix_us
 from weldhatch.core.request_lifecycle import Core
 from weldhatch.net.loop_lag import LoopLag
@@ -357,12 +357,13 @@
                 await asyncio.wait_for(submission.over.wait(), wait_s)
         return self._state_json(submission)
 
-    def delete(self, name: str, caller: object) -> dict:
+    async def delete(self, name: str, caller: object) -> dict:
         """End a task at its submitter's request; return its state. Raises HttpError."""
         submission = self.find(name, caller)
         if submission.state == "ASKED":
             raise HttpError(409, "name: no answer yet; close the submission to give the task up", "name")
         self.cancel(submission)
+        await submission.wait_until_end_stored()
         return self._state_json(submission)
 
     def cancel(self, submission: Submission) -> None:
@@ -473,6 +474,8 @@
                     NullOwner() if stored.over else submission,
                     answered=stored.over or submission.final_answer is not None,
                 )
+                if stored.over:  # its owner has ended it, or was answered failed: nothing else would stop it
+                    submission.lifecycle.deliver(Released(CAUSE_CANCELLED))
             elif stored.over:
                 self._ended.append(stored.name)
             elif stored.placed_and_ended is not None:
