Answer a machine once the ends that it reports are stored

Seen: by going through the writes: a machine is answered 200 to the end of its task, the gateway is killed before the write, and the submission ends as LOST or failed without its result; the machine does not say it again. Cause: an update was answered without waiting for the records of what it reported. Change: it waits for the records of the ends in it, up to 50 ms, as answers to submitters do.

--- a/tests/test_store_kills.py
+++ b/tests/test_store_kills.py
@@ -61,6 +61,17 @@
         """)
         return self.parties[submitter].seen["operation"]
 
+    def slow_down_disk(self):
+        """Let each write of the store take SLOW_WRITE_S."""
+        log = self.gateway.storage._store._log
+        append = log.append
+
+        def append_slowly(records):
+            time.sleep(SLOW_WRITE_S)
+            append(records)
+
+        log.append = append_slowly
+
     def stored_operations(self):
         """Return the names of the operations that are on the disk."""
         return [name.replace("tasks", "operations") for name in self.gateway.storage.state.operations]
@@ -167,6 +178,18 @@
         await self.kill_after("over")
         await self.play(f"c2 send GET {name}\nc2 expect 200 metadata.state=DONE response.result.files=3")
 
+    async def test_a_machine_is_answered_once_the_end_that_it_reported_is_stored(self):
+        """Guards against a result that was confirmed to its machine and is unknown to the next gateway."""
+        name = await self.hand_out("unsafe")
+        ended = {"id": "$lease", "state": "COMPLETED", "result": {"files": 3}}
+        self.slow_down_disk()
+        with mock.patch("weldhatch.pullqueue.bot_leases.MAX_WRITE_WAIT_S", EVENT_TIMEOUT_S, create=True):
+            await self.play(f"p1 send PATCH $session | {json.dumps({'leases': [ended]})}\np1 expect 200")
+        written = read_records(self.store / "queue.log")
+        await self.stop_gateway()
+        self.start_on(written)
+        await self.play(f"c2 send GET {name}\nc2 expect 200 metadata.state=DONE response.result.files=3")
+
     async def test_the_end_of_a_lease_in_a_store_of_the_version_before_counts_as_a_possible_run(self):
         """Such a store does not tell how a lease ended, so an unsafe task is not started again."""
         name = await self.hand_out("unsafe")
@@ -277,15 +300,8 @@
         """Guards against a cancel that was answered and is unknown to the next gateway."""
         name = await self.hand_out("keyed")
         await self.play(f"p1 send PATCH $session | {lease('ACTIVE')}\np1 expect 200")
-        log = self.gateway.storage._store._log
-        append = log.append
-
-        def append_slowly(records):
-            time.sleep(SLOW_WRITE_S)
-            append(records)
-
-        log.append = append_slowly
-        with mock.patch("weldhatch.pullqueue.submission.MAX_WRITE_WAIT_S", EVENT_TIMEOUT_S):
+        self.slow_down_disk()
+        with mock.patch("weldhatch.pullqueue.submission.MAX_WRITE_WAIT_S", EVENT_TIMEOUT_S, create=True):
             await self.play(f"c1 send POST {name}:cancel | {{}}\nc1 expect 200 metadata.state=CANCELLED")
         [operation] = self.gateway.storage.state.operations.values()
         self.assertEqual("CANCELLED", operation.state)
--- a/weldhatch/pullqueue/bot_leases.py
+++ b/weldhatch/pullqueue/bot_leases.py
@@ -20,13 +20,12 @@
 from weldhatch.pullqueue.leases import KeyLedger, Lease, LeasePhase
 from weldhatch.pullqueue.machines import Bot, NullReceiver, payload_of
 from weldhatch.pullqueue.reports import ReportedLease
-from weldhatch.pullqueue.storage import NoStorage, QueueStorage
+from weldhatch.pullqueue.storage import MAX_WRITE_WAIT_S, NoStorage, QueueStorage
 from weldhatch.scheduling.types import MachineState, Outcome, Reason, Settings
 
 # google.rpc.Code with which a puller declines a lease before it starts the task: proof that nothing ran.
 DECLINE_REASONS = {8: Reason.UNSPECIFIED, 9: Reason.NOT_ACCEPTING}
 CODE_OK = 0
-CONFIRMATION_TIMEOUT_S = 0.05  # how long an update waits for a slow disk
 
 
 class BotLeases:
@@ -57,7 +56,7 @@
         self._now = now
         self.by_id: dict[str, Lease] = {}
         self._unconfirmed: set[str] = set()  # restored leases whose first renewal is not stored yet
-        self._confirmations: dict[str, asyncio.Future[None]] = {}  # first renewals that are being stored
+        self._report_writes: dict[str, asyncio.Future[None]] = {}  # by lease: what its machine has reported
 
     def reconfigure(self, timing: PullQueueTiming) -> None:
         """Replace the durations. Leases that machines were promised for longer keep their expiry."""
@@ -83,16 +82,20 @@
         lease.expires = max(lease.expires, self._now() + self._lease_s)
         self._deadlines.set(("lease", lease.id), lease.expires + self.timing.grace)
 
-    def end_lease(self, lease: Lease, end: LeaseEnd, reason: int = 0) -> None:
-        """End an attempt and its lease, free its capacity and notify the receiver."""
+    def end_lease(self, lease: Lease, end: LeaseEnd, reason: int = 0) -> asyncio.Future[None]:
+        """End an attempt and its lease, free its capacity and notify the receiver.
+
+        Return the write of the end, which never fails.
+        """
         lease.phase = LeasePhase.ENDED
         self._registry.by_machine[lease.machine].remove(lease)
         self.by_id.pop(lease.id, None)
         self._unconfirmed.discard(lease.id)
         self._deadlines.drop(("lease", lease.id))
         self._ledger.end(lease)
-        self._storage.append_with_retry(end.encode(lease.id))
+        written = self._storage.append_with_retry(end.encode(lease.id))
         lease.receiver.deliver(Ended(lease.attempt, end.outcome, reason, (), end.cause))
+        return written
 
     def pickup_s(self) -> float:
         """Return how long an offer waits for its machine."""
@@ -136,29 +139,36 @@
 
     def _confirm(self, lease: Lease) -> None:
         """Extend a restored lease once its first renewal is stored, since the next run goes by that."""
-        if lease.id not in self._confirmations:
+        if lease.id not in self._report_writes:
             written = self._storage.append_with_retry(durable_state.encode("seen", lease.id))
-            self._confirmations[lease.id] = written
             written.add_done_callback(lambda _: self._on_confirmed(lease))
+            self._keep_write(lease, written)
 
     def _on_confirmed(self, lease: Lease) -> None:
-        del self._confirmations[lease.id]
         self._unconfirmed.discard(lease.id)
         if lease.phase in (LeasePhase.PENDING, LeasePhase.ACTIVE):
             self.extend_lease(lease)
 
-    async def wait_for_confirmations(self, ids: Iterable[str]) -> None:
-        """Wait a moment for first renewals of these leases to be stored, so that the answer shows them."""
-        pending = [self._confirmations[id] for id in ids if id in self._confirmations]
-        if pending:
-            await asyncio.wait(pending, timeout=CONFIRMATION_TIMEOUT_S)
+    def _keep_write(self, lease: Lease, written: asyncio.Future[None]) -> None:
+        self._report_writes[lease.id] = written
+        written.add_done_callback(lambda _: self._report_writes.pop(lease.id, None))
+
+    async def wait_until_stored(self, ids: Iterable[str]) -> None:
+        """Wait until what was reported of these leases is on the disk, but not long.
+
+        A machine says an end again until it is answered. An answer before the write would lose it in a kill.
+        """
+        writes = [self._report_writes[id] for id in ids if id in self._report_writes]
+        if writes:
+            await asyncio.wait(writes, timeout=MAX_WRITE_WAIT_S)
 
     def _finish(self, lease: Lease, entry: ReportedLease) -> None:
         """End a lease that its puller reports as completed or cancelled."""
         payload_of(lease.task).on_result(entry.result, entry.message)
 
         def end(outcome: Outcome, cause: int = CAUSE_LOST, reason: int = 0) -> None:
-            self.end_lease(lease, LeaseEnd(outcome, cause, entry.result, entry.message), reason)
+            lease_end = LeaseEnd(outcome, cause, entry.result, entry.message)
+            self._keep_write(lease, self.end_lease(lease, lease_end, reason))
 
         succeeded = entry.state == "COMPLETED" and entry.code == CODE_OK
         if lease.phase is LeasePhase.CANCELLED:
--- a/weldhatch/pullqueue/bot_sessions.py
+++ b/weldhatch/pullqueue/bot_sessions.py
@@ -188,7 +188,7 @@
         if state != MachineState.READY or to_end:
             wait_s = 0.0
         known = {entry.id for entry in reported}
-        await self.leases.wait_for_confirmations(known)
+        await self.leases.wait_until_stored(known)
         await self._wait_for_change(bot, known, wait_s)
         if bot.session != session or bot.update_number != update_number:
             # A lease must not be handed out in the answer to a poll that its machine has abandoned.
--- a/weldhatch/pullqueue/lease_dispatch.py
+++ b/weldhatch/pullqueue/lease_dispatch.py
@@ -32,8 +32,8 @@
     def extend_lease(self, lease: Lease) -> None:
         """Extend a lease to a full lease time from now."""
 
-    def end_lease(self, lease: Lease, end: LeaseEnd, reason: int = 0) -> None:
-        """End an attempt."""
+    def end_lease(self, lease: Lease, end: LeaseEnd, reason: int = 0) -> asyncio.Future[None]:
+        """End an attempt; return the write of its end."""
 
     def pickup_s(self) -> float:
         """Return how long an offer waits for its machine."""
--- a/weldhatch/pullqueue/storage.py
+++ b/weldhatch/pullqueue/storage.py
@@ -9,6 +9,8 @@
 from weldhatch.pullqueue.durable_state import QueueState
 from weldhatch.store.folded import EpochStore, FoldedStore
 
+MAX_WRITE_WAIT_S = 0.05  # how long an answer waits for a disk that is slow or does not accept writes
+
 
 class QueueStorage(EpochStore):
     """The store of a pull queue in a folder, which one gateway at a time can open."""
--- a/weldhatch/pullqueue/submission.py
+++ b/weldhatch/pullqueue/submission.py
@@ -10,8 +10,7 @@
 from weldhatch.core.request_lifecycle import RequestLifecycle
 from weldhatch.pullqueue import durable_state
 from weldhatch.pullqueue.admission import Ticket
-
-MAX_WRITE_WAIT_S = 0.05  # how long an answer waits for a disk that is slow or does not accept writes
+from weldhatch.pullqueue.storage import MAX_WRITE_WAIT_S
 
 
 class SubmissionOwner(Protocol):
