Let a link that was used just now give way where a server has no descriptor

Cause: a link used within the last 50 ms could not be evicted, and on a fast machine all are. Change: if no link has been idle for 50 ms, the least recently used one with nothing open or unsent on it gives way to another server. Towards clients nothing changes.

--- a/weldhatch/platform/server_link.py
+++ b/weldhatch/platform/server_link.py
@@ -22,7 +22,7 @@
 UNRESPONSIVE_AFTER_S = 2.0  # without any connection; a single connect may take 1 s
 RECONNECT_DELAY_S = 0.02  # after the end of a connection
 CONNECT_RETRY_DELAY_S = 0.1  # after a failed connect
-MIN_IDLE_S = 0.05  # a connection used more recently is not evicted
+MIN_IDLE_S = 0.05  # a connection used more recently is evicted only for another server, if all are
 
 
 class LinkOwner(ReportOwner, CheckOwner, Protocol):
@@ -131,8 +131,9 @@
         """Whether the machine is removed and no message is expected from it."""
         return self.server.state == MachineState.REMOVED and self.records.is_settled
 
-    def is_idle(self, now: float) -> bool:
-        """Whether the connection can be evicted: nothing is open or unsent, and it was not used just now."""
+    @property
+    def is_evictable(self) -> bool:
+        """Whether the connection can be closed to free its descriptor: nothing is open or unsent on it."""
         connection = self.connection
         return (
             connection is not None
@@ -140,9 +141,14 @@
             and self.records.is_settled
             and not self.silence.is_checking
             and not connection.unsent
-            and now - max(self.last_used, connection.last_received) > MIN_IDLE_S
         )
 
+    def is_idle(self, now: float) -> bool:
+        """Whether the connection can be evicted and was not used just now."""
+        if self.connection is None or not self.is_evictable:
+            return False
+        return now - max(self.last_used, self.connection.last_received) > MIN_IDLE_S
+
     def evict(self) -> None:
         """Close the idle connection to free its descriptor for another."""
         self._is_evicted = True
--- a/weldhatch/platform/servers.py
+++ b/weldhatch/platform/servers.py
@@ -104,14 +104,14 @@
     # ---- connections ---------------------------------------------------------------------------------------
 
     async def connect(self, server: Server) -> Connection:
-        """Open a connection; if the budget is used up, evict an idle link for it.
+        """Open a connection; if the budget is used up, evict a link for it.
 
         Raises:
-            NoDescriptorError: the budget is used up and no link is idle.
+            NoDescriptorError: the budget is used up, and something is open or unsent on each link.
             OSError: the connect is refused or fails.
             TimeoutError: the connect takes too long.
         """
-        if not self._share.take() and not (self.evict_idle_links(1) and self._share.take()):
+        if not self._share.take() and not (self._evict_link() and self._share.take()):
             raise NoDescriptorError("no descriptor is left")
         return await connect(
             server.endpoint, self._connect_timeout_s, self._share, f"server {server.uid}", self.log
@@ -128,6 +128,19 @@
             link.evict()
         return min(max_count, len(idle))
 
+    def _evict_link(self) -> bool:
+        """Close one link for another server's; return whether there was one.
+
+        On a fast machine all links may have been used just now. Then the least recently used one is closed:
+        without a descriptor, the request would be rejected.
+        """
+        if self.evict_idle_links(1):
+            return True
+        evictable = [link for link in self._links.values() if link.is_evictable]
+        if evictable:
+            min(evictable, key=lambda link: link.last_used).evict()
+        return bool(evictable)
+
     async def _watch(self) -> None:
         last = time.monotonic()
         while True:
