Move the waiting for admission out of Tasks into a module of its own

Change: ticket_waiters.py holds the tickets that wait, with one callback for each outcome, and the measuring of the loop's lag.

--- a/weldhatch/pullqueue/tasks.py
+++ b/weldhatch/pullqueue/tasks.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import math
-import time
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
@@ -20,10 +19,9 @@
 from weldhatch.core.messages import CAUSE_CANCELLED, CAUSE_FINISHED, CAUSE_LOST, GivenUp, Released
 from weldhatch.core.policy_driver import unix_us
 from weldhatch.core.request_lifecycle import Core
-from weldhatch.net.loop_lag import LoopLag
 from weldhatch.placement_request import PlacementRequest
 from weldhatch.pullqueue import durable_state
-from weldhatch.pullqueue.admission import AdmissionQueue, Ticket, Verdict
+from weldhatch.pullqueue.admission import AdmissionQueue, Ticket
 from weldhatch.pullqueue.bot_sessions import BotSessions
 from weldhatch.pullqueue.durable_state import EndedLease, OperationRecord
 from weldhatch.pullqueue.errors import HttpError
@@ -33,6 +31,7 @@
 from weldhatch.pullqueue.storage import NoStorage, QueueStorage
 from weldhatch.pullqueue.submission import NullOwner, Submission
 from weldhatch.pullqueue.submission_form import SubmissionReader, for_callers_tenant
+from weldhatch.pullqueue.ticket_waiters import TicketWaiters
 from weldhatch.pullqueue.workers import EMPTY_WORKER, MatchingMachines, Worker
 from weldhatch.scheduling.events import Attempt
 from weldhatch.scheduling.types import RequestClass, Settings
@@ -40,7 +39,7 @@
 
 MAX_ENDED_KEPT = 1024  # submissions that are over and can still be queried
 UNSTORED_RETRY_US = 1_000_000  # Retry-After of a submission that could not be stored
-LAG_CHECK_INTERVAL_S = 0.1  # interval of measuring the event loop's lag
+MIN_TIME_LEFT_US = 1000  # of a submission that was received long ago
 RECORDED_FIELDS = ("class", "left", "tenant", "key", "idem", "extras", "retry", "requirements")
 
 
@@ -70,40 +69,20 @@
         self._ended: deque[str] = deque()
         self._serial = 0
         self._epoch = storage.epoch_name
-        self.admission = AdmissionQueue(
-            {n: max(tenant.portion, 0.001) for n, tenant in enumerate(settings.tenants)} or {0: 1.0}, queue
-        )
+        shares = {n: max(tenant.portion, 0.001) for n, tenant in enumerate(settings.tenants)} or {0: 1.0}
+        self._admission = TicketWaiters(AdmissionQueue(shares, queue), log)
         self._storing: set[asyncio.Task[None]] = set()  # of submissions that are not on the disk yet
-        self._awaiting_admission: dict[Ticket, asyncio.Future[bool]] = {}
-        self._loop_lag = LoopLag(time.monotonic)
-        self._lag_task = asyncio.get_running_loop().create_task(self._watch_lag())
 
     def close(self) -> None:
-        """Stop measuring the event loop's lag; submissions that are not on the disk yet go no further."""
-        self._lag_task.cancel()
+        """Admit nothing more; submissions that are not on the disk yet go no further."""
+        self._admission.close()
         for storing in self._storing:
             storing.cancel()
 
     @property
     def waiting(self) -> int:
         """Number of submissions without an answer that are not in the core yet."""
-        return len(self._storing) + len(self._awaiting_admission)
-
-    async def _watch_lag(self) -> None:
-        """Adapt the admission limit to the event loop's lag, and reject tickets that are late.
-
-        The lag of the event loop is the measure of this process's load.
-        """
-        while True:
-            before = time.monotonic()
-            await asyncio.sleep(LAG_CHECK_INTERVAL_S)
-            try:
-                self.admission.update_limit(max(0.0, time.monotonic() - before - LAG_CHECK_INTERVAL_S) * 1e6)
-                self._resolve_tickets([], self.admission.remove_late(unix_us()))
-                self._admit_waiting()
-            except Exception as fault:
-                # An internal error in one iteration must not stop the admission of waiting submissions.
-                self._log(f"admission queue: internal error: {type(fault).__name__}: {fault}")
+        return len(self._storing) + len(self._admission)
 
     # ---- submitting ----------------------------------------------------------------------------------------
 
@@ -176,8 +155,8 @@
             raise HttpError(503, f"store: {self._storage.write_error}", "store", 1.0)
         now = unix_us()
         # If the event loop lags, the submission was received some time ago: its deadline counts from then.
-        age = int(self._loop_lag.age() * 1e6)
-        deadline = now + max(1000, min(placement.left_us, cls.deadline_us) - age)
+        left_us = min(placement.left_us, cls.deadline_us) - self._admission.input_age_us
+        deadline = now + max(MIN_TIME_LEFT_US, left_us)
         meta = {
             "at": now,
             "deadline": deadline,
@@ -270,52 +249,27 @@
     # ---- admission -----------------------------------------------------------------------------------------
 
     def _request_admission(self, submission: Submission, task: ports.Task) -> None:
-        decision = self.admission.request_admission(submission.ticket, unix_us())
-        displaced = decision.displaced
-        if displaced is not None and (waiting := self._awaiting_admission.pop(displaced, None)) is not None:
-            waiting.set_result(False)
-        if decision.verdict is Verdict.ADMITTED:
-            self._start_lifecycle(submission, task)
-        elif decision.verdict is Verdict.REJECTED:
-            submission.ticket = None
-            submission.refused(self._add_jitter(decision.retry_after_us), "no answer would come in time")
-        else:
-            waiting = self._awaiting_admission[submission.ticket] = asyncio.get_running_loop().create_future()
-            waiting.add_done_callback(lambda outcome: self._on_admission(submission, task, outcome))
+        self._admission.request(
+            submission.ticket,
+            lambda: self._on_admitted(submission, task),
+            lambda retry_after_us: self._on_rejected(submission, retry_after_us),
+        )
 
-    def _on_admission(self, submission: Submission, task: ports.Task, outcome: asyncio.Future[bool]) -> None:
-        if submission.final_answer is not None or submission.over.is_set():  # given up while it waited
-            if outcome.result():
-                self.admission.complete(submission.ticket, unix_us())
-            return
-        if outcome.result():
-            self._start_lifecycle(submission, task)
+    def _on_admitted(self, submission: Submission, task: ports.Task) -> None:
+        if submission.over.is_set():  # given up while it waited
+            self._admission.complete(submission.ticket)
         else:
+            self._start_lifecycle(submission, task)
+
+    def _on_rejected(self, submission: Submission, retry_after_us: float) -> None:
+        if not submission.over.is_set():
             submission.ticket = None
-            submission.refused(
-                self._add_jitter(self.admission.retry_after_us()), "no answer would come in time"
-            )
+            submission.refused(self._add_jitter(retry_after_us), "no answer would come in time")
 
     def _start_lifecycle(self, submission: Submission, task: ports.Task) -> None:
         submission.lifecycle = self._core.arrive(task, submission)
         ticket = submission.ticket
-
-        def on_answer(_: object) -> None:
-            self.admission.complete(ticket, unix_us())
-            self._admit_waiting()
-
-        submission.answer.add_done_callback(on_answer)
-
-    def _admit_waiting(self) -> None:
-        if not self.admission.waiting:
-            return
-        self._resolve_tickets(*self.admission.admit_next(unix_us()))
-
-    def _resolve_tickets(self, admitted: list[Ticket], late: list[Ticket]) -> None:
-        for tickets, verdict in ((admitted, True), (late, False)):
-            for ticket in tickets:
-                if (waiting := self._awaiting_admission.pop(ticket, None)) is not None and not waiting.done():
-                    waiting.set_result(verdict)
+        submission.answer.add_done_callback(lambda _: self._admission.complete(ticket))
 
     def _add_jitter(self, wait_us: float) -> int:
         """Add random jitter to a Retry-After, so that rejected clients do not all retry at the same time."""
@@ -381,8 +335,7 @@
         if submission.lifecycle is not None:
             submission.lifecycle.deliver(GivenUp())
         elif submission.ticket is not None:
-            self.admission.withdraw(submission.ticket)
-            self._awaiting_admission.pop(submission.ticket, None)
+            self._admission.withdraw(submission.ticket)
         submission.given_up()
 
     def on_end(self, submission: Submission) -> None:
