--- a/review/standins_2/platform_front.py
+++ b/review/standins_2/platform_front.py
@@ -37,6 +37,7 @@
         """Not listening yet. `draw`: for the time that it takes to weigh an ask."""
         self.uid, self.hall, self.rack, self._draw = uid, hall, rack, draw
         self.port = free_port()
+        self.asked = 0  # set-ups that have arrived
         self.taken: list[str] = []  # names of the tasks that it has said yes to
         self.standing: dict[bytes, str] = {}
         self._asks: asyncio.Queue[tuple[asyncio.StreamWriter, bytes, bytes, bytes]] = asyncio.Queue()
@@ -81,6 +82,7 @@
                     writer.write(encode(TESTED, tag, (CAUSE, b"\1"), (REPORT, report)))
                 elif kind == SET_UP:
                     asked.append(tag)
+                    self.asked += 1
                     self.standing[tag] = ""  # not decided yet
                     self._asks.put_nowait((writer, tag, values[NAME], values[DESCRIPTION]))
                 elif kind == RELEASE and self.standing.pop(tag, ""):
